--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/floor/EjectionRights.java
@@ -0,0 +1,29 @@
+package io.coppershelf.floor;
+
+import io.coppershelf.kernel.ServiceName;
+
+/** Where the owner of a server group asks for the right to eject. Safe for use by several threads. */
+public interface EjectionRights {
+    ServiceName<EjectionRights> NAME = ServiceName.named("floor", EjectionRights.class);
+
+    /** Asks for the right to eject the server, or renews it; the listener hears the verdict. */
+    void ask(String service, String server, Listener listener);
+
+    /** Gives the right back. */
+    void release(String service, String server);
+
+    /** Tells that a server is out of service for another reason than ejection: draining, leaving or cold. */
+    void reportOut(String service, String server, boolean out);
+
+    /** Hears verdicts, on any thread. */
+    interface Listener {
+        /** The right holds until the given monotonic time. */
+        void granted(String server, long untilNanos);
+
+        /** There is no right. */
+        void refused(String server);
+
+        /** The right ended early. */
+        void revoked(String server);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/health/package-info.java
@@ -0,0 +1,2 @@
+/** Judges backend servers by the real work that they do: suspicion, ejection, probation. Pure decisions. */
+package io.coppershelf.health;
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/kernel/ControlThread.java
@@ -0,0 +1,17 @@
+package io.coppershelf.kernel;
+
+import java.time.Duration;
+
+/** The one thread that owns the control state of a process; traffic threads read snapshots that it publishes. */
+public interface ControlThread {
+    ServiceName<ControlThread> NAME = ServiceName.named("control", ControlThread.class);
+
+    /** Runs the task on the control thread, after those submitted before it. */
+    void execute(Runnable task);
+
+    /** Runs the task once, after the delay. */
+    void after(Duration delay, Runnable task);
+
+    /** Runs the task again and again; a failure of one run is logged and does not end the series. */
+    void every(Duration interval, Runnable task);
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/kernel/Part.java
@@ -0,0 +1,27 @@
+package io.coppershelf.kernel;
+
+import java.time.Duration;
+
+/**
+ * One part of the daemon. The kernel starts the parts in the order given and stops them in the reverse order.
+ *
+ * <p>A part registers what it offers in {@link #register} and looks up what it needs in {@link #start}, so that parts
+ * may need each other.
+ */
+public interface Part {
+    /** Returns the name of the part, also the prefix of its log lines. */
+    String name();
+
+    /** Registers the services that this part offers. */
+    void register(ServiceRegistry registry);
+
+    /** Looks up the services of other parts and begins work. */
+    void start(ServiceRegistry registry);
+
+    /**
+     * Takes no new work and finishes what is under way, for at most {@code limit}.
+     *
+     * @param limit the time after which the part gives up what is left
+     */
+    void stop(Duration limit);
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/kernel/ServiceName.java
@@ -0,0 +1,15 @@
+package io.coppershelf.kernel;
+
+/**
+ * The name and type under which a service is registered.
+ *
+ * @param name the name, unique within a process
+ * @param type the interface that the service offers
+ * @param <T> the interface that the service offers
+ */
+public record ServiceName<T>(String name, Class<T> type) {
+    /** Returns the name of a service with the given interface. */
+    public static <T> ServiceName<T> named(String name, Class<T> type) {
+        return new ServiceName<>(name, type);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/operator/OperatorDesk.java
@@ -0,0 +1,19 @@
+package io.coppershelf.operator;
+
+import io.coppershelf.kernel.ServiceName;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.function.BooleanSupplier;
+
+/** Where parts register what operators see of them. Safe for use by several threads. */
+public interface OperatorDesk {
+    ServiceName<OperatorDesk> NAME = ServiceName.named("operator", OperatorDesk.class);
+
+    /** Registers a part's contribution to {@code GET /status}. */
+    void addStatus(StatusSource source);
+
+    /** Registers a condition that must hold for {@code GET /ready} to answer 200. */
+    void addReadiness(String name, BooleanSupplier condition);
+
+    /** Returns the registry of Prometheus metrics. */
+    PrometheusRegistry metrics();
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/outcome/Outcome.java
@@ -0,0 +1,22 @@
+package io.coppershelf.outcome;
+
+/** What is known about the execution of a request when its answer goes out. */
+public enum Outcome {
+    /** The backend server ran the request. */
+    RUN("run"),
+    /** The request was not run, which is proved. */
+    NOT_RUN("not-run"),
+    /** The request may or may not have been run. */
+    UNKNOWN("unknown");
+
+    private final String headerValue;
+
+    Outcome(String headerValue) {
+        this.headerValue = headerValue;
+    }
+
+    /** Returns the value of the {@code Coppershelf-Outcome} header. */
+    public String headerValue() {
+        return headerValue;
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a daemon: JSON, checked against a schema, unknown keys refused. */
+package io.coppershelf.settings;
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/ticket/ObjectSpec.java
@@ -0,0 +1,7 @@
+package io.coppershelf.ticket;
+
+/** The whole state of one configured object. */
+public sealed interface ObjectSpec permits ServiceSpec, ServerSpec, RouteSpec {
+    /** Returns the identity of the object. */
+    ObjectKey key();
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/ticket/ObjectType.java
@@ -0,0 +1,8 @@
+package io.coppershelf.ticket;
+
+/** The types of configured objects. */
+public enum ObjectType {
+    SERVICE,
+    SERVER,
+    ROUTE
+}
