--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/RunningTry.java
@@ -0,0 +1,17 @@
+package io.coppershelf.admission.internal;
+
+import io.coppershelf.admission.GroupEvent.RequestArrived;
+
+/**
+ * A try that was dispatched to a server.
+ *
+ * @param request the request as it arrived
+ * @param server the server
+ * @param dispatchedNanos when it was dispatched
+ */
+public record RunningTry(RequestArrived request, String server, long dispatchedNanos) {
+    /** Returns the id of the try. */
+    public String tryId() {
+        return request.tryId();
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/SlotTable.java
@@ -0,0 +1,50 @@
+package io.coppershelf.admission.internal;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** The exact count of the tries that run on each server. A try holds its slot from dispatch to its end. */
+public final class SlotTable {
+    private final Map<String, RunningTry> byTry = new HashMap<>();
+    private final Map<String, Map<String, RunningTry>> byServer = new HashMap<>();
+
+    /**
+     * Takes a slot of the try's server.
+     *
+     * @throws IllegalStateException if the try holds a slot already
+     */
+    public void take(RunningTry running) {
+        if (byTry.putIfAbsent(running.tryId(), running) != null) {
+            throw new IllegalStateException("try \"" + running.tryId() + "\" holds a slot already");
+        }
+        byServer.computeIfAbsent(running.server(), server -> new LinkedHashMap<>())
+                .put(running.tryId(), running);
+    }
+
+    /** Frees the slot of the try; returns the try, empty if it holds none. */
+    public Optional<RunningTry> free(String tryId) {
+        Optional<RunningTry> running = Optional.ofNullable(byTry.remove(tryId));
+        running.ifPresent(ended -> byServer.get(ended.server()).remove(tryId));
+        return running;
+    }
+
+    /** Returns the try if it runs. */
+    public Optional<RunningTry> find(String tryId) {
+        return Optional.ofNullable(byTry.get(tryId));
+    }
+
+    /** Returns the tries that run on the server, the oldest first. */
+    public Collection<RunningTry> running(String server) {
+        return Collections.unmodifiableCollection(
+                byServer.getOrDefault(server, Map.of()).values());
+    }
+
+    /** Returns the number of tries that run on the server. */
+    public int inFlight(String server) {
+        return byServer.getOrDefault(server, Map.of()).size();
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/WaitingTry.java
@@ -0,0 +1,21 @@
+package io.coppershelf.admission.internal;
+
+import io.coppershelf.admission.GroupEvent.RequestArrived;
+
+/**
+ * A try that waits for a slot.
+ *
+ * @param request the request as it arrived
+ * @param arrivedNanos when it arrived
+ */
+public record WaitingTry(RequestArrived request, long arrivedNanos) {
+    /** Returns the id of the try. */
+    public String tryId() {
+        return request.tryId();
+    }
+
+    /** Returns the time left until the deadline, negative after it. */
+    public long slackNanos(long nowNanos) {
+        return request.deadlineNanos() - nowNanos;
+    }
+}
