Operator HTTP server, time line, hybrid logical clock and log lines

Cause: operators saw nothing of a daemon. Ruled out: JSON numbers for stamps (readers round above 2^53); a stamp taken outside the buffer's lock (the ring would be out of order). Conclusion: parts can register status, readiness, metrics and events now.

--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/operator/OperatorPart.java
@@ -0,0 +1,82 @@
+package io.coppershelf.operator;
+
+import com.google.common.flogger.FluentLogger;
+import io.coppershelf.kernel.Part;
+import io.coppershelf.kernel.ServiceRegistry;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.operator.internal.Desk;
+import io.coppershelf.operator.internal.FleetStatus;
+import io.coppershelf.operator.internal.HybridLogicalClock;
+import io.coppershelf.operator.internal.OperatorServer;
+import io.coppershelf.operator.internal.TimelineBuffer;
+import io.coppershelf.outcome.CoppershelfException;
+import io.coppershelf.outcome.ErrorKind;
+import io.coppershelf.settings.Settings;
+import io.coppershelf.ticket.Configuration;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * The part that operators talk to. Needs {@link Settings} in the registry before {@link #register}; it should be the
+ * first part to start and the last to stop.
+ */
+public final class OperatorPart implements Part {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int TIMELINE_CAPACITY = 4096;
+
+    private final Desk desk = new Desk();
+    private Optional<OperatorServer> server = Optional.empty();
+
+    @Override
+    public String name() {
+        return "operator";
+    }
+
+    @Override
+    public void register(ServiceRegistry registry) {
+        Settings settings = registry.require(Settings.NAME);
+        HybridClock clock =
+                new HybridLogicalClock(registry.find(TimeSource.NAME).orElseGet(TimeSource::system));
+        TimelineBuffer timeline = new TimelineBuffer(clock, settings.vm(), TIMELINE_CAPACITY);
+        registry.register(OperatorDesk.NAME, desk);
+        registry.register(HybridClock.NAME, clock);
+        registry.register(Timeline.NAME, timeline);
+        server = Optional.of(open(settings, timeline, clock));
+    }
+
+    @Override
+    public void start(ServiceRegistry registry) {
+        Optional<Configuration.Source> configurations = registry.find(Configuration.Source.NAME);
+        Optional<FleetView.Source> fleet = registry.find(FleetView.Source.NAME);
+        if (configurations.isPresent() && fleet.isPresent()) {
+            desk.addStatus(new FleetStatus(configurations.get(), fleet.get()));
+        }
+        server.ifPresent(OperatorServer::start);
+        logger.atInfo().log("[operator] Answers on port %d.", port());
+        registry.require(Timeline.NAME).record(Timeline.Event.of(name(), "Daemon starts."));
+    }
+
+    @Override
+    public void stop(Duration limit) {
+        server.ifPresent(OperatorServer::stop);
+        logger.atInfo().log("[operator] Stopped.");
+    }
+
+    /** Returns the port on which operators are answered, 0 before {@link #register}. */
+    public int port() {
+        return server.map(OperatorServer::port).orElse(0);
+    }
+
+    private OperatorServer open(Settings settings, TimelineBuffer timeline, HybridClock clock) {
+        InetSocketAddress address = new InetSocketAddress(settings.host(), settings.operatorPort());
+        try {
+            return new OperatorServer(address, settings.vm(), settings.dataCentre(), desk, timeline, clock);
+        } catch (IOException e) {
+            throw CoppershelfException.causedBy(
+                    ErrorKind.INVALID_SETTINGS, "operator port " + address + " can't be bound: " + e.getMessage(), e);
+        }
+    }
+}
