Exchange of messages between peers

Cause: the VMs of the fleet have no way to talk to each other. Ruled out: a reader thread a connection, since 36 daemons on one machine would need thousands of threads; HTTP between peers, since a failed request there does not tell whether a byte has left. Change: MessagePack in length-prefixed frames over TCP, read and written by one selector thread; each frame is marked right before its first write, so NotSent is said only if no byte can have left. Bad frames, types and senders are dropped, counted and logged once a minute. Conclusion: other packages may register their messages.

--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The state machine of membership, its messages and the snapshot that it publishes. */
+package io.coppershelf.membership.internal;
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/peer/PeerPart.java
@@ -0,0 +1,61 @@
+package io.coppershelf.peer;
+
+import com.google.common.flogger.FluentLogger;
+import io.coppershelf.kernel.Part;
+import io.coppershelf.kernel.ServiceRegistry;
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.operator.OperatorDesk;
+import io.coppershelf.peer.internal.NioPeerExchange;
+import io.coppershelf.settings.Settings;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * The part of the daemon that talks to peers. The settings, the fleet view and the operator desk must be registered
+ * before {@link #register} is called on this part.
+ */
+public final class PeerPart implements Part {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final LinkFilter filter;
+    private Optional<NioPeerExchange> exchange = Optional.empty();
+
+    /** Creates the part of the product. */
+    public PeerPart() {
+        this(LinkFilter.ALL);
+    }
+
+    /** Creates a part whose links pass through the filter. */
+    public PeerPart(LinkFilter filter) {
+        this.filter = filter;
+    }
+
+    @Override
+    public String name() {
+        return "peer";
+    }
+
+    @Override
+    public void register(ServiceRegistry registry) {
+        NioPeerExchange created = new NioPeerExchange(
+                registry.require(FleetView.Source.NAME),
+                filter,
+                registry.require(OperatorDesk.NAME).metrics(),
+                registry.require(Settings.NAME).trafficThreads());
+        exchange = Optional.of(created);
+        registry.register(PeerExchange.NAME, created);
+    }
+
+    @Override
+    public void start(ServiceRegistry registry) {
+        Settings settings = registry.require(Settings.NAME);
+        int port = exchange.orElseThrow().listen(settings.host(), settings.peerPort());
+        logger.atInfo().log("[peer] Listening on %s:%d.", settings.host(), port);
+    }
+
+    @Override
+    public void stop(Duration limit) {
+        exchange.ifPresent(NioPeerExchange::close);
+        logger.atInfo().log("[peer] Closed all connections.");
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/peer/internal/Outbound.java
@@ -0,0 +1,96 @@
+package io.coppershelf.peer.internal;
+
+import io.coppershelf.peer.PeerReply;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+
+/**
+ * A frame on its way out. Whether a byte of it may have left is decided once: by {@link #begin} right before its first
+ * write, or by {@link #fail}, whichever is first.
+ */
+final class Outbound {
+    private enum State {
+        QUEUED,
+        BEGUN,
+        ENDED
+    }
+
+    private final ByteBuffer frame;
+    private final long correlationId;
+    private final long createdNanos;
+    private final long expiryNanos;
+    private final Optional<Consumer<PeerReply>> listener;
+    private final AtomicReference<State> state = new AtomicReference<>(State.QUEUED);
+
+    private Outbound(
+            ByteBuffer frame,
+            long correlationId,
+            long createdNanos,
+            long expiryNanos,
+            Optional<Consumer<PeerReply>> listener) {
+        this.frame = frame;
+        this.correlationId = correlationId;
+        this.createdNanos = createdNanos;
+        this.expiryNanos = expiryNanos;
+        this.listener = listener;
+    }
+
+    /** Returns a frame that expects no reply. */
+    static Outbound oneWay(ByteBuffer frame, long nowNanos, long expiryNanos) {
+        return new Outbound(frame, 0, nowNanos, expiryNanos, Optional.empty());
+    }
+
+    /** Returns a request whose end the listener hears once. */
+    static Outbound request(
+            ByteBuffer frame, long correlationId, long nowNanos, long expiryNanos, Consumer<PeerReply> listener) {
+        return new Outbound(frame, correlationId, nowNanos, expiryNanos, Optional.of(listener));
+    }
+
+    ByteBuffer frame() {
+        return frame;
+    }
+
+    long correlationId() {
+        return correlationId;
+    }
+
+    long createdNanos() {
+        return createdNanos;
+    }
+
+    boolean isRequest() {
+        return listener.isPresent();
+    }
+
+    boolean isExpired(long nowNanos) {
+        return nowNanos - expiryNanos >= 0;
+    }
+
+    /** Returns whether the frame is to be written now; no later failure of it counts as not sent. */
+    boolean begin(long nowNanos) {
+        if (isExpired(nowNanos)) {
+            fail();
+            return false;
+        }
+        return state.compareAndSet(State.QUEUED, State.BEGUN);
+    }
+
+    /** Ends the exchange with a reply. */
+    void complete(PeerReply.Received received) {
+        if (state.getAndSet(State.ENDED) != State.ENDED) {
+            listener.ifPresent(heard -> heard.accept(received));
+        }
+    }
+
+    /** Ends the exchange without a reply: not sent if no byte can have left, else lost. */
+    void fail() {
+        State before = state.getAndSet(State.ENDED);
+        if (before == State.ENDED) {
+            return;
+        }
+        PeerReply result = before == State.QUEUED ? new PeerReply.NotSent() : new PeerReply.Lost();
+        listener.ifPresent(heard -> heard.accept(result));
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/peer/internal/Conditions.java
@@ -0,0 +1,22 @@
+package io.coppershelf.peer.internal;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+/** Waits for what other threads bring about. */
+final class Conditions {
+    private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+    private Conditions() {}
+
+    static void await(BooleanSupplier condition) {
+        long start = System.nanoTime();
+        while (!condition.getAsBoolean() && System.nanoTime() - start < LIMIT_NANOS) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2));
+        }
+        assertWithMessage("the condition holds").that(condition.getAsBoolean()).isTrue();
+    }
+}
