Serve a request from caller to backend server

Cause: a caller's request must go through caller, routing, owner and backend server as one path, with its outcome told truthfully. Ruled out: tries sent from the caller's own thread (a slow server would hold the reading threads); the JDK client's own repeats (they break at most once). Change: kernel with control thread, HTTP client pinned to one send, owner runtime with forwarding, pure request decisions, HTTP server for callers, Daemon. Part gains announceStop, which all parts hear before any is stopped.

--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/Admission.java
@@ -0,0 +1,85 @@
+package io.coppershelf.admission.internal.runtime;
+
+import com.google.common.flogger.FluentLogger;
+import io.coppershelf.admission.GroupName;
+import io.coppershelf.admission.GroupOwners;
+import io.coppershelf.admission.ServerGroup;
+import io.coppershelf.admission.TryRequest;
+import io.coppershelf.backend.BackendClient;
+import io.coppershelf.floor.EjectionRights;
+import io.coppershelf.kernel.ControlThread;
+import io.coppershelf.kernel.ServiceRegistry;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.membership.Vm;
+import io.coppershelf.operator.OperatorDesk;
+import io.coppershelf.operator.Timeline;
+import io.coppershelf.peer.PeerExchange;
+import io.coppershelf.settings.Settings;
+import io.coppershelf.ticket.Configuration;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.locks.LockSupport;
+
+/** Puts the pieces of the part together. */
+public final class Admission implements GroupOwners {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(25);
+    private static final Duration STOP_POLL_INTERVAL = Duration.ofMillis(10);
+
+    private volatile GroupOwners owners;
+    private volatile LocalGroups groups;
+
+    /** Looks up the services of other parts and begins work. */
+    public void start(ServiceRegistry registry) {
+        BackendClient backend = registry.require(BackendClient.NAME);
+        TimeSource time = registry.require(TimeSource.NAME);
+        FleetView.Source fleet = registry.require(FleetView.Source.NAME);
+        Configuration.Source configuration = registry.require(Configuration.Source.NAME);
+        PeerExchange peers = registry.require(PeerExchange.NAME);
+        HealthPeers healthPeers = new HealthPeers(peers, fleet, configuration, backend);
+        EjectionRights rights = registry.require(EjectionRights.NAME);
+        Timeline timeline = registry.require(Timeline.NAME);
+
+        groups = new LocalGroups(
+                configuration,
+                fleet,
+                name -> new GroupRuntime(
+                        name,
+                        decisions(name, time),
+                        backend,
+                        time,
+                        runtime -> new GroupHealthActions(runtime, backend, healthPeers, rights, timeline)));
+        owners = new PeerGroupOwners(registry.require(Settings.NAME).vm(), groups, peers, time);
+        healthPeers.register(groups);
+        new ForwardServer(groups).register(peers, time);
+        registry.require(OperatorDesk.NAME).addStatus(new AdmissionStatus(groups));
+        drive(registry.require(ControlThread.NAME), configuration, fleet);
+    }
+
+    private static ServerGroup decisions(GroupName name, TimeSource time) {
+        return ServerGroup.create(name, new Random(name.hashCode() ^ time.nanos()));
+    }
+
+    private void drive(ControlThread control, Configuration.Source configuration, FleetView.Source fleet) {
+        configuration.onChange(groups::refresh);
+        fleet.onChange(groups::refresh);
+        control.execute(groups::refresh);
+        control.every(TICK_INTERVAL, groups::tick);
+    }
+
+    @Override
+    public TryExchange send(Vm owner, TryRequest request) {
+        return owners.send(owner, request);
+    }
+
+    /** Refuses new tries and waits until those under way have ended. */
+    public void stop(Duration limit) {
+        groups.beginStop();
+        long end = System.nanoTime() + limit.toNanos();
+        while (groups.underWay() > 0 && System.nanoTime() < end) {
+            LockSupport.parkNanos(STOP_POLL_INTERVAL.toNanos());
+        }
+        logger.atInfo().log("[admission] Stopped with %s tries under way.", groups.underWay());
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/ForwardReply.java
@@ -0,0 +1,12 @@
+package io.coppershelf.admission.internal.runtime;
+
+import io.coppershelf.admission.TryResult;
+import io.coppershelf.peer.PeerMessage;
+
+/**
+ * What became of a forwarded try.
+ *
+ * @param tryId the try
+ * @param result how it ended
+ */
+record ForwardReply(String tryId, TryResult result) implements PeerMessage {}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/ForwardRequestCodec.java
@@ -0,0 +1,81 @@
+package io.coppershelf.admission.internal.runtime;
+
+import io.coppershelf.admission.GroupName;
+import io.coppershelf.admission.TryRequest;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.peer.PeerMessageCodec;
+import java.io.IOException;
+import java.time.Duration;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Reads and writes {@link ForwardRequest}; reading turns the time left into a deadline of this VM. */
+final class ForwardRequestCodec implements PeerMessageCodec<ForwardRequest> {
+    private static final int TYPE_ID = 40;
+
+    private final TimeSource time;
+
+    ForwardRequestCodec(TimeSource time) {
+        this.time = time;
+    }
+
+    @Override
+    public int typeId() {
+        return TYPE_ID;
+    }
+
+    @Override
+    public Class<ForwardRequest> type() {
+        return ForwardRequest.class;
+    }
+
+    @Override
+    public void write(ForwardRequest message, MessagePacker packer) throws IOException {
+        TryRequest request = message.request();
+        packer.packString(request.tryId());
+        packer.packString(request.group().service());
+        packer.packString(request.group().dataCentre());
+        packer.packString(request.route());
+        packer.packString(request.method());
+        packer.packString(request.target());
+        WireFields.writeHeaders(request.headers(), packer);
+        WireFields.writeBytes(request.body(), packer);
+        packer.packBoolean(request.idempotent());
+        packer.packInt(request.weight());
+        packer.packInt(request.largestAnswer());
+        packer.packBoolean(request.hedge());
+        packer.packLong(message.remainingMillis());
+    }
+
+    @Override
+    public ForwardRequest read(MessageUnpacker unpacker) throws IOException {
+        String tryId = unpacker.unpackString();
+        GroupName group = new GroupName(unpacker.unpackString(), unpacker.unpackString());
+        String route = unpacker.unpackString();
+        String method = unpacker.unpackString();
+        String target = unpacker.unpackString();
+        var headers = WireFields.readHeaders(unpacker);
+        byte[] body = WireFields.readBytes(unpacker);
+        boolean idempotent = unpacker.unpackBoolean();
+        int weight = unpacker.unpackInt();
+        int largestAnswer = unpacker.unpackInt();
+        boolean hedge = unpacker.unpackBoolean();
+        long remainingMillis = unpacker.unpackLong();
+        long deadline = time.nanos() + Duration.ofMillis(remainingMillis).toNanos();
+        return new ForwardRequest(
+                new TryRequest(
+                        tryId,
+                        group,
+                        route,
+                        method,
+                        target,
+                        headers,
+                        body,
+                        idempotent,
+                        weight,
+                        largestAnswer,
+                        hedge,
+                        deadline),
+                remainingMillis);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/ForwardServer.java
@@ -0,0 +1,44 @@
+package io.coppershelf.admission.internal.runtime;
+
+import io.coppershelf.admission.GroupOwners.TryExchange;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.peer.PeerExchange;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+
+/** Serves tries that other VMs forward to this one. */
+final class ForwardServer {
+    private final LocalGroups groups;
+    private final ConcurrentMap<ForwardKey, TryExchange> underWay = new ConcurrentHashMap<>();
+
+    ForwardServer(LocalGroups groups) {
+        this.groups = groups;
+    }
+
+    /** Registers the messages of the forward protocol. */
+    void register(PeerExchange peers, TimeSource time) {
+        peers.register(new ForwardReplyCodec());
+        peers.register(new ForwardRequestCodec(time), this::serve);
+        peers.register(new ForwardCancelCodec(), (sender, message, replies) -> cancel(sender, message));
+    }
+
+    private void serve(String sender, ForwardRequest message, PeerExchange.Replies replies) {
+        ForwardKey key = new ForwardKey(sender, message.request().tryId());
+        TryExchange exchange = groups.submit(message.request());
+        underWay.put(key, exchange);
+        var unused = exchange.result().thenAccept(result -> {
+            underWay.remove(key, exchange);
+            replies.reply(new ForwardReply(message.request().tryId(), result));
+        });
+    }
+
+    private void cancel(String sender, ForwardCancel message) {
+        TryExchange exchange = underWay.get(new ForwardKey(sender, message.tryId()));
+        if (exchange != null) {
+            exchange.cancel();
+        }
+    }
+
+    /** A sender may cancel its own tries only. */
+    private record ForwardKey(String sender, String tryId) {}
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/ForwardedTry.java
@@ -0,0 +1,73 @@
+package io.coppershelf.admission.internal.runtime;
+
+import io.coppershelf.admission.GroupOwners.TryExchange;
+import io.coppershelf.admission.TryRequest;
+import io.coppershelf.admission.TryResult;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.membership.Vm;
+import io.coppershelf.outcome.ErrorKind;
+import io.coppershelf.peer.PeerExchange;
+import io.coppershelf.peer.PeerReply;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/** A try that was forwarded to its owner on another VM. */
+final class ForwardedTry implements TryExchange {
+    /** How long after the deadline the owner may still tell what became of the try. */
+    private static final Duration REPLY_MARGIN = Duration.ofMillis(500);
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final PeerExchange peers;
+    private final Vm owner;
+    private final TryRequest request;
+    private final CompletableFuture<TryResult> result;
+
+    private ForwardedTry(PeerExchange peers, Vm owner, TryRequest request, CompletableFuture<TryResult> result) {
+        this.peers = peers;
+        this.owner = owner;
+        this.request = request;
+        this.result = result;
+    }
+
+    /** Forwards the try, unless its deadline is past. */
+    static ForwardedTry send(PeerExchange peers, TimeSource time, Vm owner, TryRequest request) {
+        long remainingMillis = (request.deadlineNanos() - time.nanos()) / NANOS_PER_MILLI;
+        if (remainingMillis < 1) {
+            return new ForwardedTry(
+                    peers,
+                    owner,
+                    request,
+                    CompletableFuture.completedFuture(TryResult.failed(ErrorKind.DEADLINE_BEFORE_RUN)));
+        }
+        Duration timeout = Duration.ofMillis(remainingMillis).plus(REPLY_MARGIN);
+        CompletableFuture<TryResult> result = peers.request(
+                        owner, new ForwardRequest(request, remainingMillis), timeout)
+                .thenApply(reply -> read(reply, request.tryId()));
+        return new ForwardedTry(peers, owner, request, result);
+    }
+
+    private static TryResult read(PeerReply reply, String tryId) {
+        if (reply instanceof PeerReply.NotSent) {
+            return TryResult.failed(ErrorKind.OWNER_UNREACHABLE);
+        }
+        if (reply instanceof PeerReply.Received received
+                && received.message() instanceof ForwardReply forward
+                && forward.tryId().equals(tryId)) {
+            return forward.result();
+        }
+        return TryResult.failed(ErrorKind.OWNER_LOST);
+    }
+
+    @Override
+    public CompletableFuture<TryResult> result() {
+        return result;
+    }
+
+    @Override
+    public void cancel() {
+        if (!result.isDone()) {
+            peers.send(owner, new ForwardCancel(request.tryId()));
+        }
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/GroupRuntime.java
@@ -0,0 +1,187 @@
+package io.coppershelf.admission.internal.runtime;
+
+import io.coppershelf.admission.GroupAction;
+import io.coppershelf.admission.GroupEvent;
+import io.coppershelf.admission.GroupName;
+import io.coppershelf.admission.GroupOwners.TryExchange;
+import io.coppershelf.admission.GroupStatus;
+import io.coppershelf.admission.ServerGroupDecisions;
+import io.coppershelf.admission.TryRequest;
+import io.coppershelf.admission.TryResult;
+import io.coppershelf.admission.TryResult.GroupLoad;
+import io.coppershelf.backend.BackendClient;
+import io.coppershelf.backend.BackendRequest;
+import io.coppershelf.backend.BackendResult;
+import io.coppershelf.backend.BackendResult.ServerState;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.outcome.ErrorKind;
+import io.coppershelf.ticket.ServerSpec;
+import io.coppershelf.ticket.ServiceSpec;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** One server group on a VM that serves it: drives its decisions and carries out what they want. */
+final class GroupRuntime {
+    private static final Duration CANCEL_LIMIT = Duration.ofMillis(100);
+
+    private final GroupName name;
+    private final ServerGroupDecisions decisions;
+    private final BackendClient backend;
+    private final TimeSource time;
+    private final HealthActions healthActions;
+    private final ConcurrentMap<String, PendingTry> tries = new ConcurrentHashMap<>();
+    private volatile Map<String, ServerSpec> servers = Map.of();
+
+    GroupRuntime(
+            GroupName name,
+            ServerGroupDecisions decisions,
+            BackendClient backend,
+            TimeSource time,
+            Function<GroupRuntime, HealthActions> healthActions) {
+        this.name = name;
+        this.decisions = decisions;
+        this.backend = backend;
+        this.time = time;
+        this.healthActions = healthActions.apply(this);
+    }
+
+    GroupName name() {
+        return name;
+    }
+
+    /** Takes in the service and the servers of the group. */
+    void configure(ServiceSpec service, List<ServerSpec> specs) {
+        servers = specs.stream().collect(Collectors.toUnmodifiableMap(ServerSpec::name, Function.identity()));
+        on(new GroupEvent.Configured(service, specs));
+    }
+
+    Optional<ServerSpec> server(String server) {
+        return Optional.ofNullable(servers.get(server));
+    }
+
+    /** Returns the number of tries that have not ended. */
+    int underWay() {
+        return tries.size();
+    }
+
+    GroupStatus status() {
+        synchronized (decisions) {
+            return decisions.status(time.nanos());
+        }
+    }
+
+    /** Takes a try in; a try id that is under way already is not run a second time. */
+    TryExchange submit(TryRequest request) {
+        PendingTry pending = new PendingTry(request, this::cancel);
+        if (tries.putIfAbsent(request.tryId(), pending) != null) {
+            pending.end(TryResult.failed(ErrorKind.OWNER_LOST));
+            return pending;
+        }
+        on(new GroupEvent.RequestArrived(
+                request.tryId(),
+                request.route(),
+                request.idempotent(),
+                request.weight(),
+                request.deadlineNanos(),
+                request.hedge()));
+        return pending;
+    }
+
+    private void cancel(PendingTry pending) {
+        on(new GroupEvent.RequestCancelled(pending.request().tryId()));
+        endIfWaiting(pending, TryResult.failed(ErrorKind.DEADLINE_BEFORE_RUN));
+    }
+
+    /** Feeds one event to the decisions and carries out what they want. */
+    void on(GroupEvent event) {
+        List<GroupAction> actions;
+        synchronized (decisions) {
+            actions = decisions.on(event, time.nanos());
+        }
+        actions.forEach(this::perform);
+    }
+
+    private void perform(GroupAction action) {
+        if (action instanceof GroupAction.Dispatch dispatch) {
+            dispatch(dispatch);
+            return;
+        }
+        if (action instanceof GroupAction.Refuse refuse) {
+            pending(refuse.tryId())
+                    .ifPresent(
+                            pending -> endIfWaiting(pending, TryResult.refused(refuse.error(), refuse.retryAfter())));
+            return;
+        }
+        if (action instanceof GroupAction.CancelOnServer cancel) {
+            pending(cancel.tryId()).ifPresent(pending -> pending.cancelOnServer(CANCEL_LIMIT));
+            return;
+        }
+        healthActions.perform(action);
+    }
+
+    private Optional<PendingTry> pending(String tryId) {
+        return Optional.ofNullable(tries.get(tryId));
+    }
+
+    private void dispatch(GroupAction.Dispatch dispatch) {
+        Optional<PendingTry> pending = pending(dispatch.tryId());
+        Optional<ServerSpec> server = server(dispatch.server());
+        if (pending.isEmpty() || server.isEmpty()) {
+            ErrorKind error = pending.isEmpty() ? ErrorKind.DEADLINE_BEFORE_RUN : ErrorKind.NO_SERVER;
+            ended(dispatch.tryId(), BackendResult.failed(error, ServerState.UNSTATED));
+            return;
+        }
+        send(pending.get(), server.get());
+    }
+
+    private void send(PendingTry pending, ServerSpec server) {
+        String tryId = pending.request().tryId();
+        boolean isSent = pending.send(() -> {
+            BackendClient.Exchange exchange = backend.send(backendRequest(pending.request(), server));
+            var unused = exchange.result().thenAccept(result -> ended(tryId, result));
+            return exchange;
+        });
+        if (!isSent) {
+            on(new GroupEvent.TryEnded(
+                    tryId, Optional.empty(), Optional.of(ErrorKind.DEADLINE_BEFORE_RUN), ServerState.UNSTATED));
+        }
+    }
+
+    private static BackendRequest backendRequest(TryRequest request, ServerSpec server) {
+        return new BackendRequest(
+                request.tryId(),
+                server,
+                request.method(),
+                request.target(),
+                request.headers(),
+                request.body(),
+                request.deadlineNanos(),
+                request.largestAnswer());
+    }
+
+    private void ended(String tryId, BackendResult result) {
+        PendingTry pending = tries.remove(tryId);
+        on(new GroupEvent.TryEnded(
+                tryId, result.answer().map(BackendResult.Answer::status), result.error(), result.serverState()));
+        if (pending != null) {
+            pending.end(TryResult.of(result).withLoad(load()));
+        }
+    }
+
+    private void endIfWaiting(PendingTry pending, TryResult outcome) {
+        if (pending.endIfWaiting(outcome.withLoad(load()))) {
+            tries.remove(pending.request().tryId());
+        }
+    }
+
+    private GroupLoad load() {
+        GroupStatus status = status();
+        return new GroupLoad(status.freeSlots(), status.expectedWaitNanos());
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/HealthPeers.java
@@ -0,0 +1,96 @@
+package io.coppershelf.admission.internal.runtime;
+
+import io.coppershelf.admission.GroupEvent;
+import io.coppershelf.admission.GroupName;
+import io.coppershelf.backend.BackendClient;
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.membership.Vm;
+import io.coppershelf.peer.PeerExchange;
+import io.coppershelf.peer.PeerReply;
+import io.coppershelf.ticket.Configuration;
+import io.coppershelf.ticket.ServerSpec;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Exchanges evidence on the health of backend servers with other VMs. */
+final class HealthPeers {
+    /** The VMs that are asked whether they can reach a server. */
+    private static final int WITNESSES = 2;
+
+    private static final Duration WITNESS_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
+
+    private final PeerExchange peers;
+    private final FleetView.Source fleet;
+    private final Configuration.Source configuration;
+    private final BackendClient backend;
+
+    HealthPeers(PeerExchange peers, FleetView.Source fleet, Configuration.Source configuration, BackendClient backend) {
+        this.peers = peers;
+        this.fleet = fleet;
+        this.configuration = configuration;
+        this.backend = backend;
+    }
+
+    /** Registers the messages; what is heard goes to the groups. */
+    void register(LocalGroups groups) {
+        peers.register(new ReachabilityReplyCodec());
+        peers.register(new ReachabilityQueryCodec(), (sender, query, replies) -> answer(query, replies));
+        peers.register(new BaselineCodec(), (sender, baseline, replies) -> hear(sender, baseline, groups));
+    }
+
+    private void answer(ReachabilityQuery query, PeerExchange.Replies replies) {
+        Optional<ServerSpec> server = configuration.current().server(query.server());
+        if (server.isEmpty()) {
+            replies.reply(new ReachabilityReply(query.server(), false));
+            return;
+        }
+        var unused = backend.probe(server.get(), PROBE_TIMEOUT)
+                .thenAccept(state -> replies.reply(new ReachabilityReply(query.server(), state.isPresent())));
+    }
+
+    private static void hear(String sender, Baseline baseline, LocalGroups groups) {
+        groups.all().stream()
+                .filter(runtime -> runtime.name().service().equals(baseline.service()))
+                .forEach(runtime -> runtime.on(new GroupEvent.BaselineHeard(sender, baseline.usualNanos())));
+    }
+
+    /** Asks VMs of other data centres whether they can reach the server; the listener hears those that reply. */
+    void askReachability(GroupName group, String server, Consumer<Boolean> listener) {
+        FleetView view = fleet.current();
+        view.ranked("witness/" + server, "", view.vms().size()).stream()
+                .filter(vm -> !vm.id().equals(view.self().id()))
+                .filter(vm -> !vm.dataCentre().equals(group.dataCentre()))
+                .limit(WITNESSES)
+                .forEach(vm -> ask(vm, server, listener));
+    }
+
+    private void ask(Vm witness, String server, Consumer<Boolean> listener) {
+        var unused = peers.request(witness, new ReachabilityQuery(server), WITNESS_TIMEOUT)
+                .thenAccept(reply -> {
+                    if (reply instanceof PeerReply.Received received
+                            && received.message() instanceof ReachabilityReply heard
+                            && heard.server().equals(server)) {
+                        listener.accept(heard.reachable());
+                    }
+                });
+    }
+
+    /** Tells the owners of the other groups of the service the usual service times. */
+    void share(GroupName group, Map<String, Long> usualNanos) {
+        FleetView view = fleet.current();
+        List<Vm> owners = configuration.current().servers(group.service()).stream()
+                .map(ServerSpec::dataCentre)
+                .distinct()
+                .filter(dataCentre -> !dataCentre.equals(group.dataCentre()))
+                .flatMap(dataCentre -> new GroupName(group.service(), dataCentre)
+                        .owners(view).stream().limit(1))
+                .distinct()
+                .filter(vm -> !vm.id().equals(view.self().id()))
+                .toList();
+        owners.forEach(vm -> peers.send(vm, new Baseline(group.service(), usualNanos)));
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/LocalGroups.java
@@ -0,0 +1,146 @@
+package io.coppershelf.admission.internal.runtime;
+
+import com.google.common.flogger.FluentLogger;
+import io.coppershelf.admission.GroupEvent;
+import io.coppershelf.admission.GroupName;
+import io.coppershelf.admission.GroupOwners.TryExchange;
+import io.coppershelf.admission.TryRequest;
+import io.coppershelf.admission.TryResult;
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.outcome.ErrorKind;
+import io.coppershelf.ticket.Configuration;
+import io.coppershelf.ticket.ServerSpec;
+import io.coppershelf.ticket.ServiceSpec;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * The server groups that this VM may serve, made when they are first needed and dropped when they are another VM's and
+ * nothing is under way. Safe for use by several threads.
+ */
+final class LocalGroups {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final Configuration.Source configuration;
+    private final FleetView.Source fleet;
+    private final Function<GroupName, GroupRuntime> factory;
+    private final ConcurrentMap<GroupName, GroupRuntime> groups = new ConcurrentHashMap<>();
+    private volatile boolean isStopping;
+
+    LocalGroups(Configuration.Source configuration, FleetView.Source fleet, Function<GroupName, GroupRuntime> factory) {
+        this.configuration = configuration;
+        this.fleet = fleet;
+        this.factory = factory;
+    }
+
+    /** Takes a try in, or refuses it as not run if this VM may not serve its group. */
+    TryExchange submit(TryRequest request) {
+        if (isStopping) {
+            return refused(ErrorKind.STOPPING);
+        }
+        if (!isServedHere(request.group())) {
+            return refused(ErrorKind.OWNER_UNREACHABLE);
+        }
+        return group(request.group())
+                .map(runtime -> runtime.submit(request))
+                .orElseGet(() -> refused(ErrorKind.NO_SERVER));
+    }
+
+    private static TryExchange refused(ErrorKind error) {
+        return new EndedTry(CompletableFuture.completedFuture(TryResult.failed(error)));
+    }
+
+    private boolean isServedHere(GroupName name) {
+        FleetView view = fleet.current();
+        return name.owners(view).stream()
+                .anyMatch(vm -> vm.id().equals(view.self().id()));
+    }
+
+    /** Returns the group, made if needed; empty if the configuration has no server for it. */
+    Optional<GroupRuntime> group(GroupName name) {
+        GroupRuntime present = groups.get(name);
+        if (present != null) {
+            return Optional.of(present);
+        }
+        Optional<ServiceSpec> service = configuration.current().service(name.service());
+        List<ServerSpec> servers = servers(name);
+        if (service.isEmpty() || servers.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(groups.computeIfAbsent(name, key -> newGroup(key, service.get(), servers)));
+    }
+
+    private GroupRuntime newGroup(GroupName name, ServiceSpec service, List<ServerSpec> servers) {
+        GroupRuntime runtime = factory.apply(name);
+        runtime.configure(service, servers);
+        logger.atInfo().log(
+                "[admission] Serving %s in %s with %s servers.", name.service(), name.dataCentre(), servers.size());
+        return runtime;
+    }
+
+    private List<ServerSpec> servers(GroupName name) {
+        return configuration.current().servers(name.service()).stream()
+                .filter(server -> server.dataCentre().equals(name.dataCentre()))
+                .toList();
+    }
+
+    /** Takes in a change of the configuration or of the fleet; called on the control thread. */
+    void refresh() {
+        groups.values().forEach(this::refresh);
+        for (ServiceSpec service : configuration.current().services()) {
+            openOwned(service.name());
+        }
+    }
+
+    private void refresh(GroupRuntime runtime) {
+        Optional<ServiceSpec> service =
+                configuration.current().service(runtime.name().service());
+        boolean isWanted = service.isPresent() && isServedHere(runtime.name());
+        if (!isWanted && runtime.underWay() == 0) {
+            groups.remove(runtime.name());
+            return;
+        }
+        service.ifPresent(spec -> runtime.configure(spec, servers(runtime.name())));
+    }
+
+    private void openOwned(String service) {
+        Map<String, Long> dataCentres = configuration.current().servers(service).stream()
+                .collect(Collectors.groupingBy(ServerSpec::dataCentre, Collectors.counting()));
+        dataCentres.keySet().stream()
+                .map(dataCentre -> new GroupName(service, dataCentre))
+                .filter(this::isServedHere)
+                .forEach(this::group);
+    }
+
+    /** Lets time pass in all groups. */
+    void tick() {
+        groups.values().forEach(runtime -> runtime.on(new GroupEvent.Tick()));
+    }
+
+    /** Returns the groups that this VM serves now. */
+    List<GroupRuntime> all() {
+        return List.copyOf(groups.values());
+    }
+
+    /** Refuses new tries from now on. */
+    void beginStop() {
+        isStopping = true;
+    }
+
+    /** Returns the number of tries that have not ended. */
+    int underWay() {
+        return groups.values().stream().mapToInt(GroupRuntime::underWay).sum();
+    }
+
+    /** A try that ended at once. */
+    private record EndedTry(CompletableFuture<TryResult> result) implements TryExchange {
+        @Override
+        public void cancel() {}
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/PendingTry.java
@@ -0,0 +1,87 @@
+package io.coppershelf.admission.internal.runtime;
+
+import io.coppershelf.admission.GroupOwners.TryExchange;
+import io.coppershelf.admission.TryRequest;
+import io.coppershelf.admission.TryResult;
+import io.coppershelf.backend.BackendClient.Exchange;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * A try at its owner: first waiting, then sent to a backend server, then ended. It is sent at most once, and never
+ * after it ended.
+ */
+final class PendingTry implements TryExchange {
+    private final TryRequest request;
+    private final Consumer<PendingTry> onCancel;
+    private final CompletableFuture<TryResult> result = new CompletableFuture<>();
+    private boolean isWaiting = true;
+    private Optional<Exchange> exchange = Optional.empty();
+    private Optional<Duration> cancelLimit = Optional.empty();
+
+    PendingTry(TryRequest request, Consumer<PendingTry> onCancel) {
+        this.request = request;
+        this.onCancel = onCancel;
+    }
+
+    TryRequest request() {
+        return request;
+    }
+
+    @Override
+    public CompletableFuture<TryResult> result() {
+        return result;
+    }
+
+    @Override
+    public void cancel() {
+        onCancel.accept(this);
+    }
+
+    /** Sends the try unless it ended or was sent before; returns whether it was sent now. */
+    boolean send(Supplier<Exchange> sender) {
+        synchronized (this) {
+            if (!isWaiting) {
+                return false;
+            }
+            isWaiting = false;
+        }
+        Exchange sent = sender.get();
+        Optional<Duration> limit;
+        synchronized (this) {
+            exchange = Optional.of(sent);
+            limit = cancelLimit;
+        }
+        limit.ifPresent(sent::cancel);
+        return true;
+    }
+
+    /** Cancels the try on its server, now or as soon as it is sent. */
+    void cancelOnServer(Duration limit) {
+        Optional<Exchange> sent;
+        synchronized (this) {
+            cancelLimit = Optional.of(limit);
+            sent = exchange;
+        }
+        sent.ifPresent(present -> present.cancel(limit));
+    }
+
+    /** Ends the try if it still waits; returns whether it did. */
+    boolean endIfWaiting(TryResult outcome) {
+        synchronized (this) {
+            if (!isWaiting) {
+                return false;
+            }
+            isWaiting = false;
+        }
+        return result.complete(outcome);
+    }
+
+    /** Ends the try after it was sent. */
+    void end(TryResult outcome) {
+        result.complete(outcome);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/backend/internal/AnswerHandler.java
@@ -0,0 +1,74 @@
+package io.coppershelf.backend.internal;
+
+import io.coppershelf.backend.BackendRequest;
+import io.coppershelf.outcome.CoppershelfException;
+import io.coppershelf.outcome.ErrorKind;
+import java.net.http.HttpHeaders;
+import java.net.http.HttpResponse.BodyHandler;
+import java.net.http.HttpResponse.BodySubscriber;
+import java.net.http.HttpResponse.ResponseInfo;
+import java.util.Optional;
+
+/**
+ * Checks the head of an answer before its body is read: that it belongs to the try, that its length is stated, and that
+ * it is not too large.
+ */
+final class AnswerHandler implements BodyHandler<byte[]> {
+    private final BackendRequest request;
+    private volatile boolean isHeadSeen;
+
+    AnswerHandler(BackendRequest request) {
+        this.request = request;
+    }
+
+    /** Returns whether the head of the answer arrived. */
+    boolean isHeadSeen() {
+        return isHeadSeen;
+    }
+
+    @Override
+    public BodySubscriber<byte[]> apply(ResponseInfo info) {
+        isHeadSeen = true;
+        return fault(info)
+                .map(fault -> BoundedBody.refusing(fault))
+                .orElseGet(() -> BoundedBody.upTo(request.largestAnswer()));
+    }
+
+    private Optional<CoppershelfException> fault(ResponseInfo info) {
+        HttpHeaders headers = info.headers();
+        if (!ServerProtocol.isOf(headers, request.tryId())) {
+            return Optional.of(foreign(headers));
+        }
+        if (!hasStatedLength(info)) {
+            return Optional.of(CoppershelfException.of(
+                    ErrorKind.ANSWER_TRUNCATED,
+                    "the answer states no length or two, so it can't be known to be whole"));
+        }
+        if (headers.firstValueAsLong("content-length").orElse(0) > request.largestAnswer() && !isHead()) {
+            return Optional.of(BoundedBody.tooLarge(request.largestAnswer()));
+        }
+        return Optional.empty();
+    }
+
+    private CoppershelfException foreign(HttpHeaders headers) {
+        String actual = headers.firstValue(ServerProtocol.TRY_ID).orElse("none");
+        return CoppershelfException.of(
+                ErrorKind.ANSWER_FOREIGN, "expected an answer to try " + request.tryId() + " but got one to " + actual);
+    }
+
+    private boolean hasStatedLength(ResponseInfo info) {
+        if (isHead() || info.statusCode() == 204 || info.statusCode() == 304) {
+            return true;
+        }
+        boolean isChunked = info.headers()
+                .firstValue("transfer-encoding")
+                .filter(value -> value.equalsIgnoreCase("chunked"))
+                .isPresent();
+        int lengths = info.headers().allValues("content-length").size();
+        return isChunked ? lengths == 0 : lengths == 1;
+    }
+
+    private boolean isHead() {
+        return request.method().equals("HEAD");
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/daemon/Daemon.java
@@ -0,0 +1,100 @@
+package io.coppershelf.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import io.coppershelf.caller.CallerPart;
+import io.coppershelf.kernel.ControlThread;
+import io.coppershelf.kernel.Part;
+import io.coppershelf.kernel.ServiceRegistry;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.kernel.internal.Kernel;
+import io.coppershelf.kernel.internal.SingleControlThread;
+import io.coppershelf.settings.Settings;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+/**
+ * The daemon of an entry VM.
+ *
+ * <pre>{@code
+ * Daemon daemon = Daemon.start(settings);
+ * daemon.stop();
+ * }</pre>
+ */
+public final class Daemon {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int EXIT_OK = 0;
+
+    private final Kernel kernel;
+    private final SingleControlThread control;
+    private final CallerPart caller;
+    private final Duration stopLimit;
+    private boolean isStopped;
+
+    private Daemon(Kernel kernel, SingleControlThread control, CallerPart caller, Duration stopLimit) {
+        this.kernel = kernel;
+        this.control = control;
+        this.caller = caller;
+        this.stopLimit = stopLimit;
+    }
+
+    /** Starts all parts. */
+    public static Daemon start(Settings settings) {
+        CallerPart caller = new CallerPart();
+        return start(settings, DaemonParts.beforeCaller(), caller);
+    }
+
+    /** Starts the given parts and, after them, the one for callers. */
+    static Daemon start(Settings settings, List<Part> parts, CallerPart caller) {
+        SingleControlThread control = new SingleControlThread();
+        ServiceRegistry registry = new ServiceRegistry();
+        registry.register(Settings.NAME, settings);
+        registry.register(TimeSource.NAME, TimeSource.system());
+        registry.register(ControlThread.NAME, control);
+        List<Part> all = new ArrayList<>(parts);
+        all.add(caller);
+        Kernel kernel = new Kernel(registry, all);
+        try {
+            kernel.start();
+        } catch (RuntimeException e) {
+            control.close();
+            throw e;
+        }
+        logger.atInfo().log("[kernel] VM %s started.", settings.vm());
+        return new Daemon(kernel, control, caller, Duration.ofSeconds(settings.stopSeconds()));
+    }
+
+    /**
+     * Starts all parts and returns only when the process is told to end. On a termination signal all parts are stopped
+     * and the process exits with status 0.
+     */
+    public static void runUntilTerminated(Settings settings) throws InterruptedException {
+        Daemon daemon = start(settings);
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            daemon.stop();
+                            Runtime.getRuntime().halt(EXIT_OK);
+                        },
+                        "stop"));
+        new CountDownLatch(1).await();
+    }
+
+    /** Returns the address on which callers are served. */
+    public InetSocketAddress callerAddress() {
+        return caller.address();
+    }
+
+    /** Stops all parts: no new work, what is under way is finished or truthfully answered. */
+    public synchronized void stop() {
+        if (isStopped) {
+            return;
+        }
+        isStopped = true;
+        kernel.stop(stopLimit);
+        control.close();
+        logger.atInfo().log("[kernel] Stopped.");
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/kernel/Part.java
+++ b/coppershelf/src/main/java/io/coppershelf/kernel/Part.java
@@ -18,6 +18,12 @@
     /** Looks up the services of other parts and begins work. */
     void start(ServiceRegistry registry);
 
+    /**
+     * Hears that the process is about to stop, before any part is stopped: the part tells the outside that new work
+     * should go elsewhere, and goes on with its own.
+     */
+    default void announceStop() {}
+
     /**
      * Takes no new work and finishes what is under way, for at most {@code limit}.
      *
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/routing/internal/Routing.java
@@ -0,0 +1,52 @@
+package io.coppershelf.routing.internal;
+
+import io.coppershelf.admission.GroupOwners;
+import io.coppershelf.claim.Claims;
+import io.coppershelf.kernel.ServiceRegistry;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.operator.Timeline;
+import io.coppershelf.routing.InboundRequest;
+import io.coppershelf.routing.RequestPipeline;
+import io.coppershelf.routing.RequestResult;
+import io.coppershelf.routing.internal.RequestRun.RunContext;
+import io.coppershelf.settings.Settings;
+import io.coppershelf.ticket.Configuration;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+/** Puts the pieces of the part together. */
+public final class Routing implements RequestPipeline, AutoCloseable {
+    private final RequestTimers timers = new RequestTimers();
+    private volatile RequestPipeline pipeline;
+
+    /** Looks up the services of other parts. */
+    public void start(ServiceRegistry registry) {
+        TimeSource time = registry.require(TimeSource.NAME);
+        FleetView.Source fleet = registry.require(FleetView.Source.NAME);
+        Settings settings = registry.require(Settings.NAME);
+        KnownLoads loads = new KnownLoads();
+        Random random = new Random(settings.vm().hashCode() ^ time.nanos());
+        ServicePolicies policies = new ServicePolicies(
+                registry.require(Configuration.Source.NAME),
+                fleet,
+                loads,
+                new GroupChoice(settings.dataCentre(), random));
+        pipeline = new RoutedPipeline(
+                new RunContext(registry.require(GroupOwners.NAME), fleet, loads, time),
+                policies,
+                registry.require(Claims.NAME),
+                registry.require(Timeline.NAME),
+                timers);
+    }
+
+    @Override
+    public CompletableFuture<RequestResult> serve(InboundRequest request) {
+        return pipeline.serve(request);
+    }
+
+    @Override
+    public void close() {
+        timers.close();
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/daemon/DaemonTest.java
@@ -0,0 +1,181 @@
+package io.coppershelf.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.common.collect.Range;
+import io.coppershelf.admission.AdmissionPart;
+import io.coppershelf.backend.BackendPart;
+import io.coppershelf.caller.CallerPart;
+import io.coppershelf.kernel.Part;
+import io.coppershelf.outcome.Outcome;
+import io.coppershelf.routing.RoutingPart;
+import io.coppershelf.settings.Settings;
+import io.coppershelf.testing.FakeBackendServer;
+import io.coppershelf.testing.FakeBackendServer.Received;
+import io.coppershelf.testing.FakeParts;
+import io.coppershelf.testing.RawCaller;
+import io.coppershelf.testing.RawCaller.Reply;
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class DaemonTest {
+    private static final String CLAIM = "POST /claims HTTP/1.1\nHost: x\nIdempotency-Key: k1\nContent-Length: 2\n\nhi";
+
+    private FakeBackendServer server;
+    private FakeParts fakes;
+    private Daemon daemon;
+
+    private void start(FakeBackendServer.Script script) throws IOException {
+        server = FakeBackendServer.start(script);
+        fakes = FakeParts.of(FakeParts.server(server.port(), 2));
+        Settings settings = new Settings(
+                FakeParts.SELF.id(),
+                FakeParts.SELF.dataCentre(),
+                "127.0.0.1",
+                0,
+                0,
+                0,
+                URI.create("http://127.0.0.1:1"),
+                List.of(),
+                20,
+                4,
+                8_000);
+        CallerPart caller = new CallerPart();
+        List<Part> parts = List.of(fakes, new BackendPart(), new AdmissionPart(), new RoutingPart());
+        daemon = Daemon.start(settings, parts, caller);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        daemon.stop();
+        server.close();
+    }
+
+    private Reply exchange(String request) throws IOException {
+        return RawCaller.exchange(daemon.callerAddress(), request);
+    }
+
+    @Test
+    void servesRequestFromEndToEnd() throws Exception {
+        start(request -> request.answer(
+                201,
+                "took " + request.body(),
+                "X-Kept: yes",
+                "Connection: X-Dropped",
+                "X-Dropped: 1",
+                "Coppershelf-Outcome: not-run"));
+
+        Reply reply = exchange("POST /claims HTTP/1.1\nHost: x\nX-Sent: a\nCoppershelf-Try-Id: forged\n"
+                + "Coppershelf-Deadline-Ms: 5000\nIdempotency-Key: k1\nContent-Length: 2\n\nhi");
+
+        assertThat(reply.status()).isEqualTo(201);
+        assertThat(reply.body()).isEqualTo("took hi");
+        assertThat(reply.header("X-Kept")).isEqualTo("yes");
+        assertThat(reply.header("X-Dropped")).isEmpty();
+        assertThat(reply.header("Coppershelf-Outcome")).isEqualTo("run");
+        Received received = server.work().get(0);
+        assertThat(received.headers()).containsEntry("x-sent", "a");
+        assertThat(received.tryId()).isEqualTo(reply.header("Coppershelf-Request-Id") + ".1");
+        assertThat(Long.parseLong(received.headers().get("coppershelf-deadline-ms")))
+                .isIn(Range.closed(1L, 5000L));
+        assertThat(fakes.completed).containsExactly(Outcome.RUN);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "refused, 503, server-refused, not-run, 3",
+        "late, 504, deadline-before-run, not-run, 1",
+        "lost, 502, server-lost, unknown, 1",
+        "foreign, 502, answer-foreign, unknown, 1",
+        "short, 502, answer-truncated, unknown, 1",
+        "large, 502, answer-too-large, run, 1",
+    })
+    void tellsTruthOfFailedTryAndNeverSendsUnprovedWorkAgain(
+            String fault, int status, String error, String outcome, int tries) throws Exception {
+        start(request -> faulty(fault, request));
+
+        Reply reply = exchange(CLAIM);
+
+        assertThat(reply.status()).isEqualTo(status);
+        assertThat(reply.header("Coppershelf-Error")).isEqualTo(error);
+        assertThat(reply.header("Coppershelf-Outcome")).isEqualTo(outcome);
+        assertThat(reply.body()).contains("\"requestId\":\"" + reply.header("Coppershelf-Request-Id"));
+        assertThat(server.work()).hasSize(tries);
+    }
+
+    private static byte[] faulty(String fault, Received request) {
+        return switch (fault) {
+            case "refused" -> request.answer(503, "", "Coppershelf-Execution: not-started");
+            case "late" -> request.answer(504, "", "Coppershelf-Execution: not-started");
+            case "foreign" -> request.rawAnswer(200, "x", "Content-Length: 1", "Coppershelf-Try-Id: other");
+            case "short" -> request.rawAnswer(200, "x", "Coppershelf-Try-Id: " + request.tryId());
+            case "large" -> request.answer(200, "x".repeat(1_001));
+            default -> new byte[0];
+        };
+    }
+
+    @Test
+    void answersAllUnderWayBeforeItStops() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        start(request -> {
+            await(release);
+            return request.answer(200, "whole");
+        });
+        try (RawCaller caller = RawCaller.connect(daemon.callerAddress())) {
+            caller.send(CLAIM);
+            Received unused = server.awaitRequest();
+
+            CompletableFuture<Void> stop = CompletableFuture.runAsync(daemon::stop);
+            awaitUnready();
+            Reply refused = exchange("GET /shifts/1 HTTP/1.1\nHost: x\n\n");
+            release.countDown();
+
+            assertThat(caller.reply().body()).isEqualTo("whole");
+            assertThat(refused.header("Coppershelf-Error")).isEqualTo("stopping");
+            assertThat(refused.header("Retry-After")).isEqualTo("1");
+            stop.join();
+        }
+    }
+
+    private void awaitUnready() {
+        while (fakes.readiness.stream().allMatch(condition -> condition.getAsBoolean())) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Test
+    void answersAtDeadlineWhileServerStalls() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        start(request -> {
+            if (request.target().startsWith("/coppershelf/cancel/")) {
+                return request.answer(200, "", "Coppershelf-Execution: started");
+            }
+            await(never);
+            return new byte[0];
+        });
+
+        Reply reply = exchange(CLAIM.replace("Host", "Coppershelf-Deadline-Ms: 1000\nHost"));
+        never.countDown();
+
+        assertThat(reply.header("Coppershelf-Error")).isEqualTo("deadline-passed");
+        assertWithMessage("cancelled on the server")
+                .that(server.received().stream().anyMatch(r -> r.target().startsWith("/coppershelf/cancel/")))
+                .isTrue();
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/testing/RawCaller.java
@@ -0,0 +1,76 @@
+package io.coppershelf.testing;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** A caller over a raw socket. */
+public final class RawCaller implements Closeable {
+    private final Socket socket;
+
+    private RawCaller(Socket socket) {
+        this.socket = socket;
+    }
+
+    /** Connects to the address. */
+    public static RawCaller connect(InetSocketAddress address) throws IOException {
+        Socket socket = new Socket();
+        socket.connect(address);
+        return new RawCaller(socket);
+    }
+
+    /** Sends a request and returns its whole answer. */
+    public static Reply exchange(InetSocketAddress address, String request) throws IOException {
+        try (RawCaller caller = connect(address)) {
+            caller.send(request);
+            return caller.reply();
+        }
+    }
+
+    /** Sends raw text, lines ended by LF are sent with CRLF. */
+    public void send(String text) throws IOException {
+        socket.getOutputStream().write(text.replace("\n", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** Reads one answer by its stated length. */
+    public Reply reply() throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int b = socket.getInputStream().read();
+            if (b < 0) {
+                return new Reply(head.toString(), "");
+            }
+            head.append((char) b);
+        }
+        Reply bare = new Reply(head.toString(), "");
+        int length = Integer.parseInt(bare.header("content-length"));
+        byte[] body = socket.getInputStream().readNBytes(length);
+        return new Reply(head.toString(), new String(body, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+
+    /** An answer as it came; empty if the connection was closed instead. */
+    public record Reply(String head, String body) {
+        public int status() {
+            return Integer.parseInt(head.split(" ", 3)[1]);
+        }
+
+        /** Returns the value of a header, empty string if there is none. */
+        public String header(String name) {
+            for (String line : head.split("\r\n", -1)) {
+                if (line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":")) {
+                    return line.substring(name.length() + 1).strip();
+                }
+            }
+            return "";
+        }
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Fakes at the interfaces, for the tests of several packages. */
+package io.coppershelf.testing;
