Ejection rights and claims on idempotency keys, first version

Cause: ejections by all VMs together must respect the floor, and a repeated request must not run twice. Change: packages floor and claim with pure state machines, their messages and parts; FleetView.rankedByList (default method, to be overridden with a ranking over the platform's list); ErrorKind KEY_ANSWER_NOT_KEPT, so that a repeat of a request that ran is told so when its answer was not kept.

--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/claim/ClaimPart.java
@@ -0,0 +1,107 @@
+package io.coppershelf.claim;
+
+import com.google.common.flogger.FluentLogger;
+import io.coppershelf.backend.BackendResult.Answer;
+import io.coppershelf.claim.internal.AttemptStatus;
+import io.coppershelf.claim.internal.ClaimLimits;
+import io.coppershelf.claim.internal.ClaimMessage.ClaimCompletion;
+import io.coppershelf.claim.internal.ClaimMessage.ClaimRequest;
+import io.coppershelf.claim.internal.ClaimRequester;
+import io.coppershelf.claim.internal.ClaimTransfer;
+import io.coppershelf.claim.internal.HolderState;
+import io.coppershelf.claim.internal.RequestDigest;
+import io.coppershelf.kernel.ControlThread;
+import io.coppershelf.kernel.Part;
+import io.coppershelf.kernel.ServiceRegistry;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.operator.OperatorDesk;
+import io.coppershelf.outcome.Outcome;
+import io.coppershelf.peer.PeerExchange;
+import io.coppershelf.routing.InboundRequest;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Claims idempotency keys at their holders, and is a holder itself. */
+public final class ClaimPart implements Part, Claims {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration TICK = Duration.ofMillis(500);
+
+    private TimeSource time;
+    private HolderState holder;
+    private ClaimRequester requester;
+    private ClaimTransfer transfer;
+
+    @Override
+    public String name() {
+        return "claim";
+    }
+
+    @Override
+    public void register(ServiceRegistry registry) {
+        registry.register(Claims.NAME, this);
+    }
+
+    @Override
+    public void start(ServiceRegistry registry) {
+        time = registry.require(TimeSource.NAME);
+        ControlThread control = registry.require(ControlThread.NAME);
+        PeerExchange peers = registry.require(PeerExchange.NAME);
+        FleetView.Source fleet = registry.require(FleetView.Source.NAME);
+        holder = new HolderState(fleet.current(), time.nanos());
+        requester = new ClaimRequester(holder, peers, fleet, control, time);
+        transfer = new ClaimTransfer(holder, peers, fleet, time);
+        requester.registerHandlers();
+        transfer.registerHandlers();
+        fleet.onChange(() -> transfer.onFleet(control));
+        control.every(TICK, transfer::pullMissing);
+        control.every(ClaimLimits.SETTLING_TIME, () -> holder.prune(time.nanos()));
+        registry.find(OperatorDesk.NAME).ifPresent(this::describe);
+        logger.atInfo().log("[claim] Started; accepts keys once its peers have told theirs.");
+    }
+
+    @Override
+    public void stop(Duration limit) {
+        transfer.handOver(limit);
+        logger.atInfo().log("[claim] Stopped; claims handed over.");
+    }
+
+    @Override
+    public CompletableFuture<Verdict> claim(InboundRequest request) {
+        if (request.idempotencyKey().isEmpty()) {
+            return CompletableFuture.completedFuture(new Verdict.Claimed());
+        }
+        long remainingMillis = Duration.ofNanos(Math.max(0, request.deadlineNanos() - time.nanos()))
+                .toMillis();
+        return requester.claim(
+                new ClaimRequest(key(request), RequestDigest.of(request), request.id(), remainingMillis));
+    }
+
+    @Override
+    public void complete(InboundRequest request, Outcome outcome, Optional<Answer> answer) {
+        if (request.idempotencyKey().isEmpty()) {
+            return;
+        }
+        Optional<Answer> kept = answer.filter(whole -> whole.body().length <= ClaimLimits.LARGEST_KEPT_ANSWER);
+        requester.complete(
+                new ClaimCompletion(key(request), RequestDigest.of(request), request.id(), status(outcome), kept));
+    }
+
+    private static String key(InboundRequest request) {
+        return request.route().service() + "/" + request.idempotencyKey().orElseThrow();
+    }
+
+    private static AttemptStatus status(Outcome outcome) {
+        return switch (outcome) {
+            case RUN -> AttemptStatus.RUN;
+            case NOT_RUN -> AttemptStatus.NOT_RUN;
+            case UNKNOWN -> AttemptStatus.UNKNOWN;
+        };
+    }
+
+    private void describe(OperatorDesk desk) {
+        desk.addReadiness("claims", () -> holder.isComplete(time.nanos()));
+        desk.addStatus(status -> holder.describe(status.putObject("claims"), time.nanos()));
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimHistory.java
@@ -0,0 +1,153 @@
+package io.coppershelf.claim.internal;
+
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.membership.Vm;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Whether this VM can know all attempts of the window with a key.
+ *
+ * <p>It can't before its pull at start is complete; nor, for some time after a change of the VM list, for the keys that
+ * it was not a holder of before; nor, for one window, for keys whose holders were nearly all lost at once.
+ */
+public final class ClaimHistory {
+    private final String self;
+    private final long startNanos;
+    private final Map<String, Vm> listed = new HashMap<>();
+    private final Set<String> pulled = new HashSet<>();
+    private final Map<String, Long> lostAt = new HashMap<>();
+    private final Set<String> lostBeforeStart = new HashSet<>();
+    private final Deque<FormerView> formerViews = new ArrayDeque<>();
+    private final List<Damage> damages = new ArrayList<>();
+    private FleetView current;
+
+    /** Returns the history of a VM that starts now. */
+    public ClaimHistory(FleetView view, long nowNanos) {
+        this.self = view.self().id();
+        this.startNanos = nowNanos;
+        this.current = view;
+        list(view).forEach(vm -> listed.put(vm.id(), vm));
+    }
+
+    /** Takes over a view of the fleet. */
+    public void onFleet(FleetView view, long nowNanos) {
+        prune(nowNanos);
+        formerViews.addLast(new FormerView(current, nowNanos));
+        current = view;
+        Map<String, Vm> now = new HashMap<>();
+        list(view).forEach(vm -> now.put(vm.id(), vm));
+        listed.values().stream().filter(before -> isLost(before, now)).forEach(vm -> lostAt.put(vm.id(), nowNanos));
+        listed.clear();
+        listed.putAll(now);
+        noteDamage(nowNanos);
+    }
+
+    /** Takes in that a peer has answered the whole pull. */
+    public void onPulled(String peer, List<String> lost) {
+        pulled.add(peer);
+        lostBeforeStart.addAll(lost);
+    }
+
+    /** Returns the peers that are still to be pulled from. */
+    public List<String> missing(long nowNanos) {
+        if (nowNanos - startNanos >= ClaimLimits.WINDOW.toNanos()
+                || nowNanos - startNanos < ClaimLimits.SETTLING_TIME.toNanos()) {
+            return List.of();
+        }
+        return listed.values().stream()
+                .filter(this::isElder)
+                .map(Vm::id)
+                .filter(id -> !pulled.contains(id))
+                .sorted()
+                .toList();
+    }
+
+    /** Returns whether this VM knows the attempts that were made before it started. */
+    public boolean isComplete(long nowNanos) {
+        long age = nowNanos - startNanos;
+        return age >= ClaimLimits.WINDOW.toNanos()
+                || (age >= ClaimLimits.SETTLING_TIME.toNanos() && unaccounted() <= ClaimLimits.LARGEST_LOSS);
+    }
+
+    /** Returns whether this VM can know all attempts of the window with the key. */
+    public boolean covers(String key, long nowNanos) {
+        if (!isComplete(nowNanos)) {
+            return false;
+        }
+        prune(nowNanos);
+        boolean settled = formerViews.stream()
+                .allMatch(former -> holders(former.view(), key).contains(self));
+        return settled && damages.stream().noneMatch(damage -> damage.concerns(key));
+    }
+
+    /** Returns the VMs that were lost without a handover within the window. */
+    public List<String> lost(long nowNanos) {
+        prune(nowNanos);
+        return lostAt.keySet().stream().sorted().toList();
+    }
+
+    /** Returns the ids of the holders of the key in the given view, best-ranked first. */
+    public static List<String> holders(FleetView view, String key) {
+        return view.rankedByList("claim/" + key, ClaimLimits.HOLDERS).stream()
+                .map(Vm::id)
+                .toList();
+    }
+
+    /** Returns the number of VMs that may hold claims of which this one has not heard. */
+    private int unaccounted() {
+        Set<String> unaccounted = new HashSet<>(lostBeforeStart);
+        unaccounted.addAll(lostAt.keySet());
+        listed.values().stream().filter(this::isElder).map(Vm::id).forEach(unaccounted::add);
+        unaccounted.removeAll(pulled);
+        return unaccounted.size();
+    }
+
+    private boolean isElder(Vm vm) {
+        long latest = current.self().incarnation() + ClaimLimits.INCARNATION_SLACK.toMillis();
+        return !vm.id().equals(self) && vm.incarnation() <= latest;
+    }
+
+    private void noteDamage(long nowNanos) {
+        Set<String> recent = new HashSet<>();
+        lostAt.forEach((id, at) -> {
+            if (nowNanos - at < ClaimLimits.SETTLING_TIME.toNanos()) {
+                recent.add(id);
+            }
+        });
+        if (recent.size() > ClaimLimits.LARGEST_LOSS) {
+            FleetView before = formerViews.getFirst().view();
+            damages.add(new Damage(before, recent, nowNanos + ClaimLimits.WINDOW.toNanos()));
+        }
+    }
+
+    private void prune(long nowNanos) {
+        formerViews.removeIf(former -> nowNanos - former.replacedNanos() >= ClaimLimits.SETTLING_TIME.toNanos());
+        damages.removeIf(damage -> nowNanos - damage.untilNanos() >= 0);
+        lostAt.values().removeIf(at -> nowNanos - at >= ClaimLimits.WINDOW.toNanos());
+    }
+
+    private static boolean isLost(Vm before, Map<String, Vm> now) {
+        Vm after = now.get(before.id());
+        boolean gone = after == null || after.incarnation() != before.incarnation();
+        return gone && !before.leaving();
+    }
+
+    private static List<Vm> list(FleetView view) {
+        return view.rankedByList("", Integer.MAX_VALUE);
+    }
+
+    private record FormerView(FleetView view, long replacedNanos) {}
+
+    private record Damage(FleetView before, Set<String> lost, long untilNanos) {
+        boolean concerns(String key) {
+            return holders(before, key).stream().filter(lost::contains).count() > ClaimLimits.LARGEST_LOSS;
+        }
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/floor/FloorStatus.java
@@ -0,0 +1,25 @@
+package io.coppershelf.floor;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.coppershelf.floor.internal.FloorNode;
+import io.coppershelf.operator.StatusSource;
+import java.util.List;
+
+/** What operators see of the ejection rights: a snapshot that the control thread renews. */
+final class FloorStatus implements StatusSource {
+    private volatile Snapshot snapshot = new Snapshot(List.of(), 0);
+
+    void update(FloorNode node, long nowNanos) {
+        snapshot = new Snapshot(node.granted(nowNanos), node.liveRights(nowNanos));
+    }
+
+    @Override
+    public void describe(ObjectNode status) {
+        Snapshot now = snapshot;
+        ObjectNode floor = status.putObject("floor");
+        now.granterOf().forEach(floor.putArray("granterOf")::add);
+        floor.put("liveRights", now.liveRights());
+    }
+
+    private record Snapshot(List<String> granterOf, long liveRights) {}
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/floor/internal/GrantLedger.java
@@ -0,0 +1,110 @@
+package io.coppershelf.floor.internal;
+
+import io.coppershelf.floor.internal.FloorMessage.RightRelease;
+import io.coppershelf.floor.internal.FloorMessage.RightRequest;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The rights that a granter has given for one service, and the servers that it knows to be out of service for another
+ * reason. It counts each right from receipt of the request and longer than the holder does.
+ */
+public final class GrantLedger {
+    private final Map<Grant, Entry> grants = new HashMap<>();
+    private final Map<String, Report> reports = new HashMap<>();
+
+    /** Takes in what a VM tells of servers that are out of service. */
+    public void report(String sender, List<String> servers, long nowNanos) {
+        if (servers.isEmpty()) {
+            reports.remove(sender);
+            return;
+        }
+        reports.put(sender, new Report(Set.copyOf(servers), nowNanos + FloorTiming.REPORT_DURATION.toNanos()));
+    }
+
+    /** Returns whether the holder's right is counted now. */
+    public boolean isCounted(String server, String holder, long nowNanos) {
+        Entry entry = grants.get(new Grant(server, holder));
+        return entry != null && nowNanos - entry.untilNanos() < 0;
+    }
+
+    /**
+     * Counts the right if it fits, for one more grant duration from now.
+     *
+     * @param draining the servers that the configuration counts as draining
+     * @param allowance the number of servers that may be out of service
+     * @return whether it fits
+     */
+    public boolean grant(String holder, RightRequest request, Set<String> draining, int allowance, long nowNanos) {
+        Set<String> out = outOfService(draining, nowNanos);
+        out.add(request.server());
+        if (out.size() > allowance) {
+            return false;
+        }
+        long untilNanos = nowNanos + FloorTiming.giverNanos(FloorTiming.GRANT_DURATION);
+        grants.merge(
+                new Grant(request.server(), holder),
+                new Entry(request.sequence(), untilNanos),
+                (old, now) -> new Entry(Math.max(old.sequence(), now.sequence()), now.untilNanos()));
+        return true;
+    }
+
+    /** Stops counting a right that its holder gave back, unless the holder has asked again since. */
+    public void release(String holder, RightRelease release) {
+        grants.computeIfPresent(
+                new Grant(release.server(), holder),
+                (grant, entry) -> entry.sequence() <= release.sequence() ? null : entry);
+    }
+
+    /** Returns the servers that are out of service or may be, by rights, reports and the configuration. */
+    public Set<String> outOfService(Set<String> draining, long nowNanos) {
+        prune(nowNanos);
+        Set<String> out = new HashSet<>(draining);
+        grants.keySet().forEach(grant -> out.add(grant.server()));
+        reports.values().forEach(report -> out.addAll(report.servers()));
+        return out;
+    }
+
+    /** Returns the rights that are to end early so that the rest fits the allowance, in the order of their servers. */
+    public List<Grant> excess(Set<String> draining, int allowance, long nowNanos) {
+        int excess = outOfService(draining, nowNanos).size() - allowance;
+        if (excess <= 0) {
+            return List.of();
+        }
+        TreeMap<String, List<Grant>> byServer = new TreeMap<>();
+        grants.keySet()
+                .forEach(grant -> byServer.merge(
+                        grant.server(),
+                        List.of(grant),
+                        (a, b) -> java.util.stream.Stream.concat(a.stream(), b.stream())
+                                .toList()));
+        return byServer.values().stream().limit(excess).flatMap(List::stream).toList();
+    }
+
+    /** Returns whether nothing is counted. */
+    public boolean isEmpty(long nowNanos) {
+        prune(nowNanos);
+        return grants.isEmpty() && reports.isEmpty();
+    }
+
+    private void prune(long nowNanos) {
+        grants.values().removeIf(entry -> nowNanos - entry.untilNanos() >= 0);
+        reports.values().removeIf(report -> nowNanos - report.untilNanos() >= 0);
+    }
+
+    /**
+     * A right, whoever gave it.
+     *
+     * @param server the server
+     * @param holder the VM that may eject it
+     */
+    public record Grant(String server, String holder) {}
+
+    private record Entry(long sequence, long untilNanos) {}
+
+    private record Report(Set<String> servers, long untilNanos) {}
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/floor/internal/Granter.java
@@ -0,0 +1,70 @@
+package io.coppershelf.floor.internal;
+
+import io.coppershelf.floor.internal.FloorMessage.OutReport;
+import io.coppershelf.floor.internal.FloorMessage.RightRelease;
+import io.coppershelf.floor.internal.FloorMessage.RightRequest;
+import io.coppershelf.floor.internal.FloorMessage.Verdict;
+import java.util.List;
+
+/** One VM as granter, or as one that may become it, of the rights of one service. */
+public final class Granter {
+    private final GranterLease lease = new GranterLease();
+    private final GrantLedger ledger = new GrantLedger();
+
+    /** Returns the lease under which rights are granted. */
+    public GranterLease lease() {
+        return lease;
+    }
+
+    /**
+     * Decides on a request for a right.
+     *
+     * <p>While rights of a former granter may be live only live rights are renewed; their number was within the
+     * allowance when the former granter gave them.
+     */
+    public Verdict decide(String holder, RightRequest request, ServiceRules rules, long nowNanos) {
+        if (!lease.isHeld(nowNanos)) {
+            return Verdict.NOT_GRANTER;
+        }
+        if (request.ticket() > rules.ticket()) {
+            return Verdict.REFUSED;
+        }
+        boolean counted = ledger.isCounted(request.server(), holder, nowNanos);
+        if (lease.isTakingOver(nowNanos) && !counted && !request.live()) {
+            return Verdict.REFUSED;
+        }
+        int allowance = request.ticket() == rules.ticket()
+                ? Math.min(request.allowance(), rules.allowance())
+                : rules.allowance();
+        boolean fits = ledger.grant(holder, request, rules.draining(), allowance, nowNanos);
+        return fits ? Verdict.GRANTED : Verdict.REFUSED;
+    }
+
+    /** Stops counting a right that its holder gave back. */
+    public void onRelease(String holder, RightRelease release) {
+        ledger.release(holder, release);
+    }
+
+    /** Takes in a report of servers that are out of service. */
+    public void onReport(String sender, OutReport report, long nowNanos) {
+        ledger.report(sender, report.servers(), nowNanos);
+    }
+
+    /** Returns the rights that the rules no longer allow. */
+    public List<GrantLedger.Grant> excess(ServiceRules rules, long nowNanos) {
+        if (!lease.isHeld(nowNanos)) {
+            return List.of();
+        }
+        return ledger.excess(rules.draining(), rules.allowance(), nowNanos);
+    }
+
+    /** Returns the number of servers that this VM counts as out of service. */
+    public int outOfService(ServiceRules rules, long nowNanos) {
+        return ledger.outOfService(rules.draining(), nowNanos).size();
+    }
+
+    /** Returns whether this VM has nothing to remember for the service. */
+    public boolean isIdle(long nowNanos) {
+        return !lease.isHeld(nowNanos) && ledger.isEmpty(nowNanos);
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/membership/FleetView.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/FleetView.java
@@ -29,6 +29,18 @@
      */
     List<Vm> ranked(String key, String preferredDataCentre, int limit);
 
+    /**
+     * Returns the VMs of the platform's latest known list, ranked for a key by rendezvous hashing, best first: also
+     * those that can't be reached or are leaving. Two parts of a split fleet that know the same list get the same VMs,
+     * which is what quorums need.
+     *
+     * @param key what is to be placed
+     * @param limit the most VMs to return
+     */
+    default List<Vm> rankedByList(String key, int limit) {
+        return ranked(key, "", limit);
+    }
+
     /** Where traffic threads read the view in force. */
     interface Source {
         ServiceName<Source> NAME = ServiceName.named("fleet", Source.class);
--- a/coppershelf/src/main/java/io/coppershelf/outcome/ErrorKind.java
+++ b/coppershelf/src/main/java/io/coppershelf/outcome/ErrorKind.java
@@ -20,6 +20,7 @@
     SLOW_REQUEST(408, Outcome.NOT_RUN, Retry.NEVER),
     KEY_RUNNING(409, Outcome.UNKNOWN, Retry.LATER),
     KEY_OUTCOME_UNKNOWN(409, Outcome.UNKNOWN, Retry.NEVER),
+    KEY_ANSWER_NOT_KEPT(409, Outcome.RUN, Retry.NEVER),
     BODY_TOO_LARGE(413, Outcome.NOT_RUN, Retry.NEVER),
     KEY_REUSED(422, Outcome.NOT_RUN, Retry.NEVER),
     HEAD_TOO_LARGE(431, Outcome.NOT_RUN, Retry.NEVER),
