--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/platform/PlatformPart.java
@@ -0,0 +1,42 @@
+package io.coppershelf.platform;
+
+import io.coppershelf.kernel.Part;
+import io.coppershelf.kernel.ServiceRegistry;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.operator.OperatorDesk;
+import io.coppershelf.platform.internal.HttpPlatform;
+import io.coppershelf.settings.Settings;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+
+/** The part that reads the platform. Needs {@link Settings} in the registry before {@link #register}. */
+public final class PlatformPart implements Part {
+    private Optional<HttpPlatform> platform = Optional.empty();
+
+    @Override
+    public String name() {
+        return "platform";
+    }
+
+    @Override
+    public void register(ServiceRegistry registry) {
+        Settings settings = registry.require(Settings.NAME);
+        TimeSource time = registry.find(TimeSource.NAME).orElseGet(TimeSource::system);
+        Random jitter = new Random(settings.vm().hashCode() ^ time.nanos());
+        HttpPlatform client = new HttpPlatform(settings.platform(), time, jitter);
+        registry.register(Platform.NAME, client);
+        platform = Optional.of(client);
+    }
+
+    @Override
+    public void start(ServiceRegistry registry) {
+        OperatorDesk desk = registry.require(OperatorDesk.NAME);
+        platform.ifPresent(client -> desk.metrics().register(client.calls()));
+    }
+
+    @Override
+    public void stop(Duration limit) {
+        platform.ifPresent(HttpPlatform::close);
+    }
+}
