Membership of the fleet

Cause: the VMs need one view of who is live, though the platform's list lags and cuts may go one way. Ruled out: heartbeats to all, whose rate grows with the fleet; counting a VM as gone on the word of one that can't hear it. Change: SWIM-like probes in random rounds, indirect probes through three others, suspicion that the accused may deny, incarnations, leaving VMs told at once, the platform's list by revision, no judgement after a pause of its own. FleetView gains isMajority, so that one side at most of a split may act for the fleet. Conclusion: other parts read FleetView.Source.

--- a/coppershelf/src/main/java/io/coppershelf/membership/FleetView.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/FleetView.java
@@ -18,6 +18,14 @@
     /** Returns whether this VM has had an answer from the given one within the liveness limit. */
     boolean isReachable(String id);
 
+    /**
+     * Returns whether the live VMs are more than half of all that should be there: those count as well that peers say
+     * are gone and that neither left nor were dropped from the platform's list. In a split, one side at most has it.
+     */
+    default boolean isMajority() {
+        return true;
+    }
+
     /**
      * Returns the live VMs that are not leaving, ranked for a key by rendezvous hashing, best first.
      *
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/membership/MembershipPart.java
@@ -0,0 +1,102 @@
+package io.coppershelf.membership;
+
+import com.google.common.flogger.FluentLogger;
+import io.coppershelf.kernel.ControlThread;
+import io.coppershelf.kernel.Part;
+import io.coppershelf.kernel.ServiceRegistry;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.membership.internal.FleetSnapshot;
+import io.coppershelf.membership.internal.FleetSource;
+import io.coppershelf.membership.internal.ListReader;
+import io.coppershelf.membership.internal.MembershipDriver;
+import io.coppershelf.operator.OperatorDesk;
+import io.coppershelf.operator.Timeline;
+import io.coppershelf.peer.PeerExchange;
+import io.coppershelf.platform.Platform;
+import io.coppershelf.settings.Settings;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The part of the daemon that knows which VMs are live. The settings and the time must be registered before
+ * {@link #register} is called on this part.
+ */
+public final class MembershipPart implements Part, LeaveNotice {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private Optional<FleetSource> source = Optional.empty();
+    private Optional<MembershipDriver> driver = Optional.empty();
+
+    @Override
+    public String name() {
+        return "membership";
+    }
+
+    @Override
+    public void register(ServiceRegistry registry) {
+        Settings settings = registry.require(Settings.NAME);
+        long incarnation = registry.require(TimeSource.NAME).wallMillis();
+        Vm self = new Vm(
+                settings.vm(),
+                incarnation,
+                settings.dataCentre(),
+                settings.host(),
+                settings.peerPort(),
+                settings.operatorPort(),
+                false);
+        FleetSource created = new FleetSource(new FleetSnapshot(self, List.of(), Set.of()));
+        source = Optional.of(created);
+        registry.register(FleetView.Source.NAME, created);
+        registry.register(LeaveNotice.NAME, this);
+    }
+
+    @Override
+    public void start(ServiceRegistry registry) {
+        FleetSource fleet = source.orElseThrow();
+        ControlThread control = registry.require(ControlThread.NAME);
+        MembershipDriver started = new MembershipDriver(
+                fleet,
+                registry.require(Settings.NAME).seeds(),
+                control,
+                registry.require(TimeSource.NAME),
+                registry.require(PeerExchange.NAME),
+                registry.require(Timeline.NAME));
+        driver = Optional.of(started);
+        started.start();
+        long seed = fleet.current().self().incarnation();
+        registry.find(Platform.NAME)
+                .ifPresent(platform -> new ListReader(platform, control, fleet, seed, started::listed).read());
+        showMetrics(registry.require(OperatorDesk.NAME), fleet);
+    }
+
+    @Override
+    public void leave() {
+        logger.atInfo().log("[membership] Telling the peers that this VM leaves.");
+        driver.ifPresent(MembershipDriver::leave);
+    }
+
+    @Override
+    public void stop(Duration limit) {
+        leave();
+    }
+
+    private static void showMetrics(OperatorDesk desk, FleetView.Source fleet) {
+        GaugeWithCallback.builder()
+                .name("coppershelf_fleet_vms")
+                .help("VMs of the fleet that count as live.")
+                .callback(callback -> callback.call(fleet.current().vms().size()))
+                .register(desk.metrics());
+        GaugeWithCallback.builder()
+                .name("coppershelf_fleet_unreachable_vms")
+                .help("Live VMs that did not answer the last probe of this one.")
+                .callback(callback -> callback.call((double) unreachable(fleet.current())))
+                .register(desk.metrics());
+    }
+
+    private static long unreachable(FleetView view) {
+        return view.vms().stream().filter(vm -> !view.isReachable(vm.id())).count();
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/membership/internal/FleetSnapshot.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/FleetSnapshot.java
@@ -26,6 +26,7 @@
     private final List<Vm> placeable;
     private final long[] placeableHashes;
     private final Set<String> reachable;
+    private final int goneByPeers;
 
     /**
      * Creates a snapshot.
@@ -35,6 +36,15 @@
      * @param reachable the ids of those that answered within the liveness limit
      */
     public FleetSnapshot(Vm self, Collection<Vm> others, Set<String> reachable) {
+        this(self, others, reachable, 0);
+    }
+
+    /**
+     * Creates a snapshot.
+     *
+     * @param goneByPeers the number of VMs that count as gone by the word of peers alone
+     */
+    FleetSnapshot(Vm self, Collection<Vm> others, Set<String> reachable, int goneByPeers) {
         this.self = self;
         others.forEach(vm -> byId.put(vm.id(), vm));
         byId.put(self.id(), self);
@@ -42,6 +52,7 @@
         placeable = vms.stream().filter(vm -> !vm.leaving()).toList();
         placeableHashes = placeable.stream().mapToLong(vm -> hash(vm.id())).toArray();
         this.reachable = Set.copyOf(reachable);
+        this.goneByPeers = goneByPeers;
     }
 
     @Override
@@ -64,6 +75,11 @@
         return id.equals(self.id()) || reachable.contains(id);
     }
 
+    @Override
+    public boolean isMajority() {
+        return vms.size() > goneByPeers;
+    }
+
     @Override
     public List<Vm> ranked(String key, String preferredDataCentre, int limit) {
         long keyHash = hash(key);
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/ListReader.java
@@ -0,0 +1,66 @@
+package io.coppershelf.membership.internal;
+
+import com.google.common.flogger.FluentLogger;
+import io.coppershelf.kernel.ControlThread;
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.platform.Platform;
+import io.coppershelf.platform.Platform.PublishedVms;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Reads the platform's list of VMs again and again; the calls of the whole fleet stay under a fixed rate. */
+public final class ListReader {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long SHORTEST_INTERVAL_MILLIS = 5_000;
+    private static final long INTERVAL_MILLIS_PER_VM = 10;
+
+    private final Platform platform;
+    private final ControlThread control;
+    private final FleetView.Source fleet;
+    private final Random random;
+    private final Consumer<PublishedVms> listener;
+    private long revision;
+
+    /**
+     * Creates a reader.
+     *
+     * @param listener hears each list on the control thread
+     * @param seed the seed of the spread of the calls in time
+     */
+    public ListReader(
+            Platform platform,
+            ControlThread control,
+            FleetView.Source fleet,
+            long seed,
+            Consumer<PublishedVms> listener) {
+        this.platform = platform;
+        this.control = control;
+        this.fleet = fleet;
+        this.listener = listener;
+        random = new Random(seed);
+    }
+
+    /** Reads the list, and again after an interval. */
+    public void read() {
+        var unused = platform.vms(revision, Duration.ZERO)
+                .whenComplete((list, failure) -> control.execute(() -> {
+                    if (failure == null) {
+                        revision = Math.max(revision, list.revision());
+                        listener.accept(list);
+                    } else {
+                        logger.atWarning().atMostEvery(1, TimeUnit.MINUTES).log(
+                                "[membership] Can't read the list of VMs: %s.", failure.getMessage());
+                    }
+                    control.after(interval(), this::read);
+                }));
+    }
+
+    private Duration interval() {
+        long base = Math.max(
+                SHORTEST_INTERVAL_MILLIS,
+                INTERVAL_MILLIS_PER_VM * fleet.current().vms().size());
+        return Duration.ofMillis(base / 2 + random.nextLong(base));
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/Member.java
@@ -0,0 +1,111 @@
+package io.coppershelf.membership.internal;
+
+import io.coppershelf.membership.Vm;
+
+/** What this VM knows of another one. */
+final class Member {
+    private MemberUpdate update;
+    private long hash;
+    private long changedNanos;
+    private long answeredNanos;
+    private boolean hasAnswered;
+    private boolean isAnswering;
+    private long listedRevision;
+    private boolean isListedAsLeaving;
+    private boolean isGoneByList;
+
+    Member(MemberUpdate update, long nowNanos) {
+        this.update = update;
+        hash = update.hash();
+        changedNanos = nowNanos;
+    }
+
+    MemberUpdate update() {
+        return update;
+    }
+
+    /** Returns the hash of the statement in force. */
+    long hash() {
+        return hash;
+    }
+
+    /** Returns the VM, leaving if it said so itself or the platform's list does. */
+    Vm vm() {
+        return isListedAsLeaving ? update.leaving().vm() : update.vm();
+    }
+
+    /** Returns where to send a probe: to any incarnation unless this one is known to answer. */
+    Vm probeTarget() {
+        Vm vm = update.vm();
+        return isAnswering
+                ? vm
+                : new Vm(vm.id(), 0, vm.dataCentre(), vm.host(), vm.peerPort(), vm.operatorPort(), vm.leaving());
+    }
+
+    boolean is(MemberStatus status) {
+        return update.status() == status;
+    }
+
+    boolean isLive() {
+        return !is(MemberStatus.GONE);
+    }
+
+    boolean isGoneByList() {
+        return isGoneByList;
+    }
+
+    /** Returns whether the last probe of this VM was answered. */
+    boolean isAnswering() {
+        return isAnswering;
+    }
+
+    boolean hasAnsweredSince(long nanos) {
+        return hasAnswered && answeredNanos - nanos >= 0;
+    }
+
+    long changedNanos() {
+        return changedNanos;
+    }
+
+    long listedRevision() {
+        return listedRevision;
+    }
+
+    void replace(MemberUpdate newer, long nowNanos) {
+        if (newer.vm().incarnation() != update.vm().incarnation()) {
+            isAnswering = false;
+            isGoneByList = false;
+            listedRevision = update.vm().incarnation() == 0 ? listedRevision : 0;
+        }
+        update = newer;
+        hash = newer.hash();
+        changedNanos = nowNanos;
+    }
+
+    void markLeaving() {
+        update = update.leaving();
+        hash = update.hash();
+    }
+
+    void answered(long nowNanos) {
+        hasAnswered = true;
+        isAnswering = true;
+        answeredNanos = nowNanos;
+    }
+
+    void unanswered() {
+        isAnswering = false;
+    }
+
+    void listed(long revision, boolean isLeaving) {
+        listedRevision = revision;
+        isListedAsLeaving = isLeaving;
+        isGoneByList = false;
+    }
+
+    void unlisted(long nowNanos) {
+        isGoneByList = true;
+        listedRevision = 0;
+        replace(update.withStatus(MemberStatus.GONE), nowNanos);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MemberTable.java
@@ -0,0 +1,253 @@
+package io.coppershelf.membership.internal;
+
+import io.coppershelf.membership.Vm;
+import io.coppershelf.membership.internal.MembershipEvent.Listed;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** All other VMs that this VM knows of, those counted as gone included. */
+final class MemberTable {
+    private static final long GONE_KEPT_NANOS = TimeUnit.HOURS.toNanos(24);
+    private static final int GONE_KEPT_AT_MOST = 1024;
+
+    private final String self;
+    private final Map<String, Member> members = new TreeMap<>();
+    private long listRevision;
+    private long version;
+
+    MemberTable(String self) {
+        this.self = self;
+    }
+
+    /** Returns a number that grows with each change of what the view shows. */
+    long version() {
+        return version;
+    }
+
+    Optional<Member> member(String id) {
+        return Optional.ofNullable(members.get(id));
+    }
+
+    Member require(String id) {
+        return member(id).orElseThrow();
+    }
+
+    /** Returns the live member of the same incarnation; 0 stands for any. */
+    Optional<Member> live(Vm vm) {
+        return member(vm.id())
+                .filter(Member::isLive)
+                .filter(member -> vm.incarnation() == 0
+                        || vm.incarnation() == member.update().vm().incarnation());
+    }
+
+    boolean isLive(String id) {
+        return member(id).filter(Member::isLive).isPresent();
+    }
+
+    boolean isRevivable(String id) {
+        return member(id)
+                .filter(member -> !member.isLive() && !member.isGoneByList())
+                .isPresent();
+    }
+
+    List<String> liveIds() {
+        return members.keySet().stream().filter(this::isLive).toList();
+    }
+
+    List<String> revivableIds() {
+        return members.keySet().stream().filter(this::isRevivable).toList();
+    }
+
+    List<Vm> liveVms() {
+        return liveMembers().map(Member::vm).collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    int liveCount() {
+        return (int) liveMembers().count();
+    }
+
+    List<Member> withStatus(MemberStatus status) {
+        return members.values().stream().filter(member -> member.is(status)).toList();
+    }
+
+    /** Returns the VMs that answer this one, the given one excepted. */
+    List<Vm> answeringOthers(String id) {
+        return liveMembers()
+                .filter(member ->
+                        member.isAnswering() && !member.update().vm().id().equals(id))
+                .map(Member::vm)
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    List<MemberUpdate> updates() {
+        return members.values().stream().map(Member::update).collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    long digest() {
+        return liveMembers().mapToLong(Member::hash).reduce(0, (a, b) -> a ^ b);
+    }
+
+    FleetSnapshot view(Vm selfVm) {
+        Set<String> answering = liveMembers()
+                .filter(Member::isAnswering)
+                .map(member -> member.update().vm().id())
+                .collect(Collectors.toSet());
+        long gone = members.values().stream()
+                .filter(member -> !member.isLive()
+                        && !member.isGoneByList()
+                        && !member.vm().leaving())
+                .count();
+        return new FleetSnapshot(selfVm, liveVms(), answering, (int) gone);
+    }
+
+    /** Takes a statement; returns what to tell, perhaps an empty text, if it is news. */
+    Optional<String> merge(MemberUpdate update, long nowNanos) {
+        String id = update.vm().id();
+        Optional<Member> present = member(id);
+        if (present.isEmpty()) {
+            members.put(id, new Member(update, nowNanos));
+            version++;
+            return Optional.of(update.status() == MemberStatus.GONE ? "" : "VM " + id + " joined.");
+        }
+        Member member = present.get();
+        boolean isLeaver = update.vm().leaving()
+                && update.vm().incarnation() == member.update().vm().incarnation();
+        if (!update.replaces(member.update())) {
+            return isLeaver && !member.update().vm().leaving() ? markLeaving(member) : Optional.empty();
+        }
+        return replace(member, update, nowNanos);
+    }
+
+    private Optional<String> replace(Member member, MemberUpdate update, long nowNanos) {
+        boolean wasLeaving = member.update().vm().leaving();
+        boolean isSame = member.update().vm().incarnation() == update.vm().incarnation();
+        if (isSame && member.isGoneByList()) {
+            return Optional.empty();
+        }
+        MemberUpdate before = member.update();
+        member.replace(update, nowNanos);
+        if (wasLeaving && isSame) {
+            member.markLeaving();
+        }
+        version++;
+        return Optional.of(change(update, before));
+    }
+
+    private static String change(MemberUpdate update, MemberUpdate before) {
+        String vm = "VM " + update.vm().id();
+        boolean wasGone = before.status() == MemberStatus.GONE;
+        if (update.status() == MemberStatus.GONE) {
+            return wasGone ? "" : vm + " is gone: several VMs got no answer.";
+        }
+        if (before.vm().incarnation() == 0) {
+            return vm + " joined.";
+        }
+        if (before.vm().incarnation() != update.vm().incarnation()) {
+            return vm + " has restarted.";
+        }
+        return wasGone ? vm + " is back." : "";
+    }
+
+    Optional<String> markLeaving(Member member) {
+        member.markLeaving();
+        version++;
+        return Optional.of("VM " + member.update().vm().id() + " is leaving.");
+    }
+
+    void answered(Member member, long nowNanos) {
+        if (!member.isAnswering()) {
+            version++;
+        }
+        member.answered(nowNanos);
+    }
+
+    void unanswered(Member member) {
+        if (member.isAnswering()) {
+            version++;
+        }
+        member.unanswered();
+    }
+
+    /**
+     * Takes the platform's list. A revision that is not fresher changes nothing. A list without this VM itself lags
+     * behind this VM's start, so no VM counts as gone by it.
+     *
+     * @return what to tell
+     */
+    List<String> listed(Listed list, long nowNanos) {
+        List<String> told = new ArrayList<>();
+        if (list.revision() <= listRevision) {
+            return told;
+        }
+        listRevision = list.revision();
+        list.vms().stream().filter(vm -> !vm.id().equals(self)).forEach(vm -> enter(vm, nowNanos, told));
+        Set<String> ids = list.vms().stream().map(Vm::id).collect(Collectors.toCollection(HashSet::new));
+        if (ids.contains(self)) {
+            removeUnlisted(ids, nowNanos, told);
+        }
+        return told;
+    }
+
+    private void enter(Vm vm, long nowNanos, List<String> told) {
+        MemberUpdate update = new MemberUpdate(vm, 0, MemberStatus.ALIVE);
+        Optional<Member> present = member(vm.id());
+        if (present.isEmpty()) {
+            members.put(vm.id(), new Member(update, nowNanos));
+            version++;
+        } else if (vm.incarnation() > present.get().update().vm().incarnation()) {
+            replace(present.get(), update, nowNanos).ifPresent(told::add);
+        }
+        Member member = require(vm.id());
+        boolean isCurrent = vm.incarnation() == 0
+                || vm.incarnation() == member.update().vm().incarnation();
+        if (isCurrent) {
+            enterCurrent(member, vm, nowNanos);
+        }
+    }
+
+    private void enterCurrent(Member member, Vm vm, long nowNanos) {
+        boolean wasGoneByList = member.isGoneByList();
+        boolean wasLeaving = member.vm().leaving();
+        member.listed(listRevision, vm.leaving());
+        if (wasGoneByList) {
+            member.replace(member.update().withStatus(MemberStatus.ALIVE), nowNanos);
+        }
+        if (wasGoneByList || wasLeaving != member.vm().leaving()) {
+            version++;
+        }
+    }
+
+    private void removeUnlisted(Set<String> listedIds, long nowNanos, List<String> told) {
+        for (Map.Entry<String, Member> entry : members.entrySet()) {
+            Member member = entry.getValue();
+            boolean isDropped = member.listedRevision() > 0 && !listedIds.contains(entry.getKey());
+            if (isDropped) {
+                member.unlisted(nowNanos);
+                version++;
+                told.add("VM " + entry.getKey() + " is gone: the list dropped it.");
+            }
+        }
+    }
+
+    /** Forgets VMs that have been gone for long, and the first one of too many. */
+    void forgetOld(long nowNanos) {
+        List<Member> gone = withStatus(MemberStatus.GONE);
+        gone.stream()
+                .min(Comparator.comparingLong(Member::changedNanos))
+                .filter(first -> gone.size() > GONE_KEPT_AT_MOST || nowNanos - first.changedNanos() >= GONE_KEPT_NANOS)
+                .ifPresent(first -> members.remove(first.vm().id()));
+    }
+
+    private Stream<Member> liveMembers() {
+        return members.values().stream().filter(Member::isLive);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipAction.java
@@ -0,0 +1,27 @@
+package io.coppershelf.membership.internal;
+
+import io.coppershelf.membership.Vm;
+
+/** What the membership wants done. */
+sealed interface MembershipAction {
+    /** Probe the VM; the end of it follows as an event. */
+    record Probe(Vm target) implements MembershipAction {}
+
+    /** Ask the witness to probe the target. */
+    record ProbeThrough(Vm witness, Vm target) implements MembershipAction {}
+
+    /** Ask the VM for all that it knows. */
+    record Pull(Vm target) implements MembershipAction {}
+
+    /** Ask the seeds of the settings for all that they know. */
+    record Join() implements MembershipAction {}
+
+    /** Tell the VM that this one leaves. */
+    record TellLeaving(Vm target) implements MembershipAction {}
+
+    /** Publish the view, which has changed. */
+    record Publish() implements MembershipAction {}
+
+    /** Record a change on the time line. */
+    record Told(String text) implements MembershipAction {}
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipDriver.java
@@ -0,0 +1,216 @@
+package io.coppershelf.membership.internal;
+
+import com.google.common.flogger.FluentLogger;
+import io.coppershelf.kernel.ControlThread;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.membership.Vm;
+import io.coppershelf.membership.internal.MembershipEvent.Introduced;
+import io.coppershelf.membership.internal.MembershipEvent.LeaveHeard;
+import io.coppershelf.membership.internal.MembershipEvent.ProbeAnswered;
+import io.coppershelf.membership.internal.MembershipEvent.ProbeFailed;
+import io.coppershelf.membership.internal.MembershipEvent.Tick;
+import io.coppershelf.membership.internal.MembershipEvent.UpdatesHeard;
+import io.coppershelf.membership.internal.MembershipEvent.VerdictHeard;
+import io.coppershelf.membership.internal.MembershipMessages.JoinRequest;
+import io.coppershelf.membership.internal.MembershipMessages.LeaveMessage;
+import io.coppershelf.membership.internal.MembershipMessages.Ping;
+import io.coppershelf.membership.internal.MembershipMessages.PingReply;
+import io.coppershelf.membership.internal.MembershipMessages.ProbeRequest;
+import io.coppershelf.membership.internal.MembershipMessages.ProbeVerdict;
+import io.coppershelf.operator.Timeline;
+import io.coppershelf.peer.PeerExchange;
+import io.coppershelf.peer.PeerExchange.Replies;
+import io.coppershelf.peer.PeerMessage;
+import io.coppershelf.peer.PeerReply;
+import io.coppershelf.platform.Platform.PublishedVms;
+import io.coppershelf.settings.Settings.Seed;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Carries out what {@link MembershipDecisions} want, on the control thread. */
+public final class MembershipDriver {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration PROBE_TIMEOUT = Duration.ofMillis(MembershipDecisions.PROBE_TIMEOUT_MILLIS);
+    private static final Duration VERDICT_TIMEOUT = PROBE_TIMEOUT.multipliedBy(2);
+    private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(2);
+
+    private final MembershipDecisions decisions;
+    private final List<Seed> seeds;
+    private final ControlThread control;
+    private final TimeSource time;
+    private final PeerExchange exchange;
+    private final Timeline timeline;
+    private final FleetSource source;
+
+    /** Creates a driver for the VM that the source shows as itself. */
+    public MembershipDriver(
+            FleetSource source,
+            List<Seed> seeds,
+            ControlThread control,
+            TimeSource time,
+            PeerExchange exchange,
+            Timeline timeline) {
+        this.source = source;
+        this.seeds = List.copyOf(seeds);
+        this.control = control;
+        this.time = time;
+        this.exchange = exchange;
+        this.timeline = timeline;
+        Vm self = source.current().self();
+        decisions = new MembershipDecisions(self, self.id().hashCode() ^ self.incarnation(), time.nanos());
+    }
+
+    /** Registers the messages and begins to probe. */
+    public void start() {
+        exchange.register(MembershipMessages.PING_REPLY);
+        exchange.register(MembershipMessages.PROBE_VERDICT);
+        exchange.register(MembershipMessages.PING, this::pinged);
+        exchange.register(MembershipMessages.JOIN_REQUEST, this::joined);
+        exchange.register(MembershipMessages.PROBE_REQUEST, this::probeRequested);
+        exchange.register(
+                MembershipMessages.LEAVE,
+                (sender, leave, replies) -> post(new LeaveHeard(sender, leave.incarnation())));
+        control.every(Duration.ofMillis(MembershipDecisions.TICK_MILLIS), () -> on(new Tick()));
+    }
+
+    /** Takes in a list of the platform. */
+    public void listed(PublishedVms list) {
+        post(new MembershipEvent.Listed(list.revision(), list.vms()));
+    }
+
+    /** Tells the peers that this VM leaves. */
+    public void leave() {
+        control.execute(() -> {
+            if (!decisions.self().vm().leaving()) {
+                on(new MembershipEvent.LeaveBegun());
+            }
+        });
+    }
+
+    private void post(MembershipEvent event) {
+        control.execute(() -> on(event));
+    }
+
+    private void on(MembershipEvent event) {
+        decisions.on(event, time.nanos()).forEach(this::perform);
+    }
+
+    private void perform(MembershipAction action) {
+        if (action instanceof MembershipAction.Probe probe) {
+            probe(probe.target());
+        } else if (action instanceof MembershipAction.ProbeThrough through) {
+            probeThrough(through);
+        } else if (action instanceof MembershipAction.Pull pull) {
+            pull(pull.target());
+        } else if (action instanceof MembershipAction.Join) {
+            Vm self = decisions.self().vm();
+            seeds.stream()
+                    .filter(seed -> !seed.host().equals(self.host()) || seed.peerPort() != self.peerPort())
+                    .forEach(seed -> pull(new Vm("", 0, "", seed.host(), seed.peerPort(), 0, false)));
+        } else if (action instanceof MembershipAction.TellLeaving told) {
+            exchange.send(told.target(), new LeaveMessage(decisions.self().vm().incarnation()));
+        } else if (action instanceof MembershipAction.Publish) {
+            source.publish(decisions.view());
+        } else if (action instanceof MembershipAction.Told told) {
+            logger.atInfo().log("[membership] %s", told.text());
+            timeline.record(Timeline.Event.of("membership", told.text()));
+        }
+    }
+
+    private void probe(Vm target) {
+        long began = time.nanos();
+        Ping ping = new Ping(decisions.self(), decisions.gossipFor(target.id()));
+        request(target, ping, PROBE_TIMEOUT, reply -> {
+            boolean isReached = reply instanceof PeerReply.Received received && answered(received.message());
+            if (!isReached) {
+                on(new ProbeFailed(target, began));
+            }
+        });
+    }
+
+    private void probeThrough(MembershipAction.ProbeThrough through) {
+        long began = time.nanos();
+        Vm target = through.target();
+        request(through.witness(), new ProbeRequest(target), VERDICT_TIMEOUT, reply -> {
+            if (reply instanceof PeerReply.Received received && received.message() instanceof ProbeVerdict verdict) {
+                on(new VerdictHeard(target, through.witness().id(), verdict.isReached(), began));
+            }
+        });
+    }
+
+    private void pull(Vm target) {
+        request(target, new JoinRequest(decisions.self()), JOIN_TIMEOUT, reply -> {
+            if (reply instanceof PeerReply.Received received) {
+                answered(received.message());
+            }
+        });
+    }
+
+    private boolean answered(PeerMessage message) {
+        if (!(message instanceof PingReply reply)) {
+            return false;
+        }
+        on(new ProbeAnswered(reply.answerer(), reply.updates(), reply.digest()));
+        return true;
+    }
+
+    private void request(Vm target, PeerMessage message, Duration timeout, Consumer<PeerReply> then) {
+        var unused = exchange.request(target, message, timeout)
+                .thenAccept(reply -> control.execute(() -> then.accept(reply)));
+    }
+
+    private void pinged(String sender, Ping ping, Replies replies) {
+        control.execute(() -> {
+            if (!isAbout(sender, ping.sender())) {
+                return;
+            }
+            heard(ping.sender(), ping.updates());
+            replies.reply(new PingReply(decisions.self(), decisions.gossipFor(sender), decisions.digest()));
+        });
+    }
+
+    private void joined(String sender, JoinRequest request, Replies replies) {
+        control.execute(() -> {
+            if (!isAbout(sender, request.sender())) {
+                return;
+            }
+            heard(request.sender(), List.of());
+            replies.reply(new PingReply(decisions.self(), decisions.everything(), decisions.digest()));
+        });
+    }
+
+    /** Statements count only if their sender is a live VM; a new one first has to answer a probe. */
+    private void heard(MemberUpdate sender, List<MemberUpdate> updates) {
+        boolean isLive = decisions.isLive(sender.vm());
+        if (isLive) {
+            on(new UpdatesHeard(sender.vm().id(), updates));
+        }
+        on(new Introduced(sender));
+    }
+
+    private void probeRequested(String sender, ProbeRequest request, Replies replies) {
+        control.execute(() -> {
+            FleetView view = source.current();
+            if (view.vm(sender).isPresent()) {
+                witness(request.target(), replies);
+            }
+        });
+    }
+
+    /** Probes for another VM; this VM holds nothing against the target if that fails. */
+    private void witness(Vm target, Replies replies) {
+        Ping ping = new Ping(decisions.self(), decisions.gossipFor(target.id()));
+        request(
+                target,
+                ping,
+                PROBE_TIMEOUT,
+                reply -> replies.reply(new ProbeVerdict(
+                        reply instanceof PeerReply.Received received && answered(received.message()))));
+    }
+
+    private static boolean isAbout(String sender, MemberUpdate update) {
+        return sender.equals(update.vm().id());
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/peer/internal/Receiver.java
+++ b/coppershelf/src/main/java/io/coppershelf/peer/internal/Receiver.java
@@ -36,11 +36,11 @@
         this.traffic = traffic;
     }
 
-    /** Returns whether the view in force contains this incarnation of the VM. */
+    /** Returns whether the view in force contains this incarnation of the VM, or the VM with none known yet. */
     boolean isKnown(Vm vm) {
         return fleet.current()
                 .vm(vm.id())
-                .filter(present -> present.incarnation() == vm.incarnation())
+                .filter(present -> present.incarnation() == 0 || present.incarnation() == vm.incarnation())
                 .isPresent();
     }
 
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/membership/internal/FakeFleet.java
@@ -0,0 +1,217 @@
+package io.coppershelf.membership.internal;
+
+import io.coppershelf.membership.Vm;
+import io.coppershelf.membership.internal.MembershipEvent.Introduced;
+import io.coppershelf.membership.internal.MembershipEvent.ProbeAnswered;
+import io.coppershelf.membership.internal.MembershipEvent.ProbeFailed;
+import io.coppershelf.membership.internal.MembershipEvent.Tick;
+import io.coppershelf.membership.internal.MembershipEvent.UpdatesHeard;
+import io.coppershelf.membership.internal.MembershipEvent.VerdictHeard;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
+import java.util.function.Consumer;
+
+/** Membership decisions of many VMs in virtual time, joined by links that can delay, lose and cut. */
+final class FakeFleet {
+    private static final long MILLI = 1_000_000L;
+
+    private final Map<String, Node> nodes = new TreeMap<>();
+    private final PriorityQueue<Due> queue = new PriorityQueue<>();
+    private final Random random;
+    private long nowNanos;
+    private long sequence;
+    long messages;
+    BiPredicate<String, String> passes = (from, to) -> true;
+    double loss;
+
+    FakeFleet(int size, long seed) {
+        random = new Random(seed);
+        for (int i = 0; i < size; i++) {
+            start(name(i), 1);
+        }
+    }
+
+    static String name(int index) {
+        return String.format("vm-%02d", index);
+    }
+
+    void start(String id, long incarnation) {
+        Node node = new Node(new Vm(id, incarnation, "dc-" + id.charAt(id.length() - 1) % 4, "h", 1, 1, false));
+        nodes.put(id, node);
+        after(random.nextInt(100), () -> node.tick());
+    }
+
+    void kill(String id) {
+        nodes.get(id).isUp = false;
+    }
+
+    void pause(String id, long millis) {
+        nodes.get(id).pausedUntil = nowNanos + millis * MILLI;
+    }
+
+    void leave(String id) {
+        nodes.get(id).on(new MembershipEvent.LeaveBegun());
+    }
+
+    void list(long revision, List<Vm> vms, List<String> readers) {
+        readers.forEach(id -> nodes.get(id).on(new MembershipEvent.Listed(revision, vms)));
+    }
+
+    Vm vm(String id) {
+        return nodes.get(id).decisions.self().vm();
+    }
+
+    Set<String> seenBy(String id) {
+        Set<String> ids = new HashSet<>();
+        view(id).vms().forEach(vm -> ids.add(vm.id()));
+        return ids;
+    }
+
+    FleetSnapshot view(String id) {
+        return nodes.get(id).decisions.view();
+    }
+
+    void run(long millis) {
+        long end = nowNanos + millis * MILLI;
+        while (!queue.isEmpty() && queue.peek().atNanos <= end) {
+            Due due = queue.poll();
+            nowNanos = Math.max(nowNanos, due.atNanos);
+            due.task.run();
+        }
+        nowNanos = end;
+    }
+
+    private void after(long millis, Runnable task) {
+        queue.add(new Due(nowNanos + millis * MILLI, sequence++, task));
+    }
+
+    /** Delivers to a node that is up; what arrives during a pause is handled at its end. */
+    private void deliver(String from, String to, Consumer<Node> task) {
+        messages++;
+        if (!passes.test(from, to) || random.nextDouble() < loss) {
+            return;
+        }
+        after(1 + random.nextInt(5), () -> whenAwake(nodes.get(to), task));
+    }
+
+    private void whenAwake(Node node, Consumer<Node> task) {
+        if (node.pausedUntil > nowNanos) {
+            after((node.pausedUntil - nowNanos) / MILLI + 1, () -> whenAwake(node, task));
+        } else if (node.isUp) {
+            task.accept(node);
+        }
+    }
+
+    private record Due(long atNanos, long sequence, Runnable task) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Long.compare(atNanos, other.atNanos);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+        }
+    }
+
+    /** One VM, with the part of its driver. */
+    private final class Node {
+        private final MembershipDecisions decisions;
+        private final String id;
+        private boolean isUp = true;
+        private long pausedUntil;
+
+        Node(Vm vm) {
+            id = vm.id();
+            decisions = new MembershipDecisions(vm, random.nextLong(), nowNanos);
+        }
+
+        void tick() {
+            whenAwake(this, node -> node.on(new Tick()));
+            if (isUp) {
+                after(Math.max(100, (pausedUntil - nowNanos) / MILLI + 100), this::tick);
+            }
+        }
+
+        void on(MembershipEvent event) {
+            decisions.on(event, nowNanos).forEach(this::perform);
+        }
+
+        private void perform(MembershipAction action) {
+            if (action instanceof MembershipAction.Probe probe) {
+                long began = nowNanos;
+                probe(probe.target(), reached -> {
+                    if (!reached) {
+                        on(new ProbeFailed(probe.target(), began));
+                    }
+                });
+            } else if (action instanceof MembershipAction.ProbeThrough through) {
+                long began = nowNanos;
+                deliver(
+                        id,
+                        through.witness().id(),
+                        witness -> witness.probe(
+                                through.target(),
+                                reached -> deliver(
+                                        witness.id,
+                                        id,
+                                        asker -> asker.on(
+                                                new VerdictHeard(through.target(), witness.id, reached, began)))));
+            } else if (action instanceof MembershipAction.Pull pull) {
+                pull(pull.target().id());
+            } else if (action instanceof MembershipAction.Join) {
+                pull(name(0));
+            } else if (action instanceof MembershipAction.TellLeaving told) {
+                long incarnation = decisions.self().vm().incarnation();
+                deliver(id, told.target().id(), peer -> peer.on(new MembershipEvent.LeaveHeard(id, incarnation)));
+            }
+        }
+
+        private void pull(String target) {
+            MemberUpdate self = decisions.self();
+            deliver(id, target, peer -> {
+                peer.on(new Introduced(self));
+                peer.reply(id, peer.decisions.everything(), () -> {});
+            });
+        }
+
+        private void probe(Vm target, Consumer<Boolean> listener) {
+            boolean[] isEnded = new boolean[1];
+            MemberUpdate self = decisions.self();
+            List<MemberUpdate> updates = decisions.gossipFor(target.id());
+            deliver(id, target.id(), peer -> {
+                boolean isOther = target.incarnation() != 0
+                        && target.incarnation() != peer.decisions.self().vm().incarnation();
+                if (isOther) {
+                    return;
+                }
+                if (peer.decisions.isLive(self.vm())) {
+                    peer.on(new UpdatesHeard(id, updates));
+                }
+                peer.on(new Introduced(self));
+                peer.reply(id, peer.decisions.gossipFor(id), () -> end(isEnded, true, listener));
+            });
+            after(
+                    MembershipDecisions.PROBE_TIMEOUT_MILLIS,
+                    () -> whenAwake(this, node -> end(isEnded, false, listener)));
+        }
+
+        private void reply(String to, List<MemberUpdate> updates, Runnable then) {
+            ProbeAnswered answer = new ProbeAnswered(decisions.self(), new ArrayList<>(updates), decisions.digest());
+            deliver(id, to, asker -> {
+                asker.on(answer);
+                then.run();
+            });
+        }
+
+        private void end(boolean[] isEnded, boolean isReached, Consumer<Boolean> listener) {
+            if (!isEnded[0]) {
+                isEnded[0] = true;
+                listener.accept(isReached);
+            }
+        }
+    }
+}
