Health from real work, weights and early refusal in the server group

Cause: the first server group counted slots but knew no sickness, and under overload refused by order of arrival. Ruled out: probes as the main evidence (they lag and mislead); limits on single answers (a stall gives none); one's own pause as evidence. Change: GroupHealth with a stall detector (ages in flight, Fisher's method), latency and error comparisons (cumulative sums against peers), path check, cold start, hold times and the right to eject; WeightShares, WaitEstimate, RetryAfterEstimate, ShedBackoff and ServerChoice for admission. A failure to connect is a TryEnded with SERVER_REFUSED and state UNSTATED.

--- a/coppershelf/src/main/java/io/coppershelf/admission/ServerGroup.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/ServerGroup.java
@@ -1,215 +1,255 @@
 package io.coppershelf.admission;
 
 import io.coppershelf.admission.GroupAction.CancelOnServer;
-import io.coppershelf.admission.GroupAction.ConditionChanged;
 import io.coppershelf.admission.GroupAction.Dispatch;
 import io.coppershelf.admission.GroupAction.Refuse;
+import io.coppershelf.admission.GroupEvent.BaselineHeard;
 import io.coppershelf.admission.GroupEvent.Configured;
+import io.coppershelf.admission.GroupEvent.EjectionGranted;
+import io.coppershelf.admission.GroupEvent.EjectionRevoked;
+import io.coppershelf.admission.GroupEvent.ProbeEnded;
+import io.coppershelf.admission.GroupEvent.ReachabilityHeard;
 import io.coppershelf.admission.GroupEvent.RequestArrived;
 import io.coppershelf.admission.GroupEvent.RequestCancelled;
+import io.coppershelf.admission.GroupEvent.Tick;
 import io.coppershelf.admission.GroupEvent.TryEnded;
 import io.coppershelf.admission.GroupStatus.ServerStatus;
+import io.coppershelf.admission.internal.AdmissionControl;
 import io.coppershelf.admission.internal.DeadlineQueue;
+import io.coppershelf.admission.internal.GroupActions;
+import io.coppershelf.admission.internal.RetryAfterEstimate;
 import io.coppershelf.admission.internal.RunningTry;
+import io.coppershelf.admission.internal.ServerChoice;
 import io.coppershelf.admission.internal.ServiceTimes;
+import io.coppershelf.admission.internal.ShedBackoff;
 import io.coppershelf.admission.internal.SlotTable;
+import io.coppershelf.admission.internal.TryEnds;
+import io.coppershelf.admission.internal.WaitEstimate;
 import io.coppershelf.admission.internal.WaitingTry;
-import io.coppershelf.backend.BackendResult.ServerState;
+import io.coppershelf.health.GroupHealth;
+import io.coppershelf.health.HealthPolicy;
 import io.coppershelf.health.ServerCondition;
+import io.coppershelf.health.TryEnd;
 import io.coppershelf.outcome.ErrorKind;
 import io.coppershelf.ticket.ServerSpec;
+import io.coppershelf.ticket.ServiceSpec;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
-/** The decisions of the owner of a server group: exact slots, a queue by deadline, early refusal. */
+/**
+ * The decisions of the owner of a server group: exact slots, a queue by deadline, early refusal of the least weighted
+ * kinds, and the health of the servers.
+ *
+ * <pre>{@code
+ * ServerGroup group = ServerGroup.create(new GroupName("rotavis", "herning"), new Random(seed));
+ * group.on(new GroupEvent.Configured(service, servers), now);
+ * List<GroupAction> actions = group.on(new GroupEvent.RequestArrived(...), now);
+ * }</pre>
+ */
 public final class ServerGroup implements ServerGroupDecisions {
-    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    /** A probation try must have this multiple of its usual time left, so that it can be run again elsewhere. */
+    private static final int TRIAL_SLACK = 10;
+    /** A try goes to a suspected server once it has less than this multiple of the time that it needs elsewhere. */
+    private static final int SUSPECTED_SLACK = 2;
 
     private final GroupName name;
-    private final RandomGenerator random;
     private final SlotTable slots = new SlotTable();
     private final DeadlineQueue queue = new DeadlineQueue();
     private final ServiceTimes serviceTimes = new ServiceTimes();
+    private final AdmissionControl admission = new AdmissionControl(queue, serviceTimes);
+    private final ShedBackoff backoff = new ShedBackoff();
     private final Map<String, ServerSpec> servers = new TreeMap<>();
-    private final Set<String> draining = new HashSet<>();
+    private final GroupActions actions = new GroupActions();
+    private final RetryAfterEstimate retryAfter;
+    private final GroupHealth health;
+    private final ServerChoice choice;
 
-    private ServerGroup(GroupName name, RandomGenerator random) {
+    private ServerGroup(GroupName name, RandomGenerator random, Function<ServiceSpec, HealthPolicy> policies) {
         this.name = name;
-        this.random = random;
+        this.retryAfter = new RetryAfterEstimate(random);
+        this.health = new GroupHealth(policies, actions);
+        this.choice = new ServerChoice(slots, health, backoff, random);
     }
 
     /** Returns the decisions for the group, without servers yet. */
     public static ServerGroup create(GroupName name, RandomGenerator random) {
-        return new ServerGroup(name, random);
+        return create(name, random, service -> HealthPolicy.forDetectionWeight(service.detectionWeight()));
+    }
+
+    /** Returns the decisions for the group with other limits of evidence. */
+    public static ServerGroup create(
+            GroupName name, RandomGenerator random, Function<ServiceSpec, HealthPolicy> policies) {
+        return new ServerGroup(name, random, policies);
     }
 
     @Override
     public List<GroupAction> on(GroupEvent event, long nowNanos) {
-        List<GroupAction> actions = new ArrayList<>();
-        if (event instanceof Configured configured) {
-            configure(configured, actions);
-        } else if (event instanceof RequestArrived request) {
-            arrive(request, nowNanos, actions);
-        } else if (event instanceof RequestCancelled cancelled) {
-            cancel(cancelled.tryId(), actions);
+        health.advance(nowNanos);
+        if (event instanceof RequestArrived request) {
+            arrive(request, nowNanos);
         } else if (event instanceof TryEnded ended) {
-            end(ended, nowNanos, actions);
+            end(ended, nowNanos);
+        } else if (event instanceof Tick) {
+            health.tick(nowNanos);
+        } else if (event instanceof RequestCancelled cancelled) {
+            cancel(cancelled.tryId());
+        } else if (event instanceof Configured configured) {
+            configure(configured, nowNanos);
+        } else {
+            tellHealth(event, nowNanos);
+        }
+        dispatchWaiting(nowNanos);
+        return actions.takeAll();
+    }
+
+    private void tellHealth(GroupEvent event, long nowNanos) {
+        if (event instanceof ProbeEnded probe) {
+            health.probeEnded(probe.server(), probe.state(), nowNanos);
+        } else if (event instanceof BaselineHeard heard) {
+            health.baselineHeard(heard.sender(), heard.usualNanos(), nowNanos);
+        } else if (event instanceof ReachabilityHeard heard) {
+            health.reachabilityHeard(heard.server(), heard.reachable(), nowNanos);
+        } else if (event instanceof EjectionGranted granted) {
+            health.ejectionGranted(granted.server(), granted.untilNanos(), nowNanos);
+        } else if (event instanceof EjectionRevoked revoked) {
+            health.ejectionRevoked(revoked.server(), nowNanos);
         }
-        dispatchWaiting(nowNanos, actions);
-        return actions;
     }
 
-    private void configure(Configured configured, List<GroupAction> actions) {
+    private void configure(Configured configured, long nowNanos) {
         servers.clear();
         configured.servers().forEach(server -> servers.put(server.name(), server));
-        draining.retainAll(servers.keySet());
-        for (ServerSpec server : configured.servers()) {
-            if (server.draining()) {
-                drain(server.name(), "ticket", actions);
-            } else if (draining.remove(server.name())) {
-                actions.add(new ConditionChanged(
-                        server.name(), ServerCondition.DRAINING, ServerCondition.IN_SERVICE, "ticket"));
-            }
-        }
-    }
-
-    private void drain(String server, String reason, List<GroupAction> actions) {
-        if (draining.add(server)) {
-            actions.add(new ConditionChanged(server, ServerCondition.IN_SERVICE, ServerCondition.DRAINING, reason));
-        }
+        health.configure(configured.service(), configured.servers(), nowNanos);
     }
 
-    private void arrive(RequestArrived request, long nowNanos, List<GroupAction> actions) {
-        WaitingTry waiting = new WaitingTry(request, nowNanos);
-        if (request.hedge() && freeServer().isEmpty()) {
-            actions.add(new Refuse(request.tryId(), ErrorKind.OVERLOADED, RETRY_AFTER));
+    private void arrive(RequestArrived request, long nowNanos) {
+        WaitEstimate estimate = estimate(nowNanos);
+        boolean admitted = request.hedge()
+                ? queue.isEmpty() && choice.best(servers.values(), nowNanos).isPresent()
+                : admission.admits(request, estimate, nowNanos);
+        retryAfter.decided(admitted);
+        if (admitted) {
+            queue.add(new WaitingTry(request, nowNanos));
             return;
         }
-        if (!canFinish(waiting, nowNanos)) {
-            ErrorKind error = usableSlots() == 0 ? ErrorKind.NO_SERVER : ErrorKind.OVERLOADED;
-            actions.add(new Refuse(request.tryId(), error, RETRY_AFTER));
-            return;
-        }
-        queue.add(waiting);
+        ErrorKind error = estimate.slots() == 0 ? ErrorKind.NO_SERVER : ErrorKind.OVERLOADED;
+        actions.add(new Refuse(request.tryId(), error, retryAfter.after(expectedWaitNanos(estimate))));
     }
 
-    private boolean canFinish(WaitingTry waiting, long nowNanos) {
-        if (usableSlots() == 0) {
-            return false;
-        }
-        int ahead = queue.insertionIndex(waiting.request().deadlineNanos());
-        long needed = expectedWaitNanos(ahead)
-                + serviceTimes.meanNanos(waiting.request().route());
-        return needed <= waiting.slackNanos(nowNanos);
-    }
-
-    private long expectedWaitNanos(int ahead) {
-        if (usableSlots() == 0 || (ahead == 0 && freeSlots() > 0)) {
-            return 0;
-        }
-        long work = 0;
-        for (WaitingTry waiting : queue.tries().subList(0, ahead)) {
-            work += serviceTimes.meanNanos(waiting.request().route());
-        }
-        return work / usableSlots();
-    }
-
-    private void cancel(String tryId, List<GroupAction> actions) {
+    private void cancel(String tryId) {
         queue.remove(tryId)
                 .ifPresent(waiting -> actions.add(new Refuse(tryId, ErrorKind.DEADLINE_BEFORE_RUN, Duration.ZERO)));
         slots.find(tryId).ifPresent(running -> actions.add(new CancelOnServer(tryId, running.server())));
     }
 
-    private void end(TryEnded ended, long nowNanos, List<GroupAction> actions) {
+    private void end(TryEnded ended, long nowNanos) {
         Optional<RunningTry> running = slots.free(ended.tryId());
         if (running.isEmpty()) {
             return;
         }
         RunningTry done = running.get();
-        if (ended.status().isPresent()) {
+        TryEnd end = TryEnds.of(ended);
+        if (end == TryEnd.ANSWERED) {
+            backoff.ran(done.server(), nowNanos);
             serviceTimes.record(done.request().route(), nowNanos - done.dispatchedNanos());
+        } else if (end == TryEnd.REFUSED) {
+            backoff.refused(done.server(), nowNanos);
         }
-        if (ended.serverState() == ServerState.DRAINING && servers.containsKey(done.server())) {
-            drain(done.server(), "server", actions);
-        }
+        health.ended(ended.tryId(), done.server(), end, ended.serverState(), nowNanos);
     }
 
-    private void dispatchWaiting(long nowNanos, List<GroupAction> actions) {
+    private void dispatchWaiting(long nowNanos) {
+        dispatchTrial(nowNanos);
         while (!queue.isEmpty()) {
             WaitingTry first = queue.tries().get(0);
-            if (first.slackNanos(nowNanos) <= 0) {
+            if (isTooLate(first, nowNanos)) {
                 queue.remove(first.tryId());
                 actions.add(new Refuse(first.tryId(), ErrorKind.DEADLINE_BEFORE_RUN, Duration.ZERO));
                 continue;
             }
-            Optional<String> server = freeServer();
+            Optional<String> server = serverFor(first, nowNanos);
             if (server.isEmpty()) {
                 return;
             }
             queue.remove(first.tryId());
-            slots.take(new RunningTry(first.request(), server.get(), nowNanos));
-            actions.add(new Dispatch(first.tryId(), server.get()));
+            dispatch(first, server.get(), nowNanos);
         }
     }
 
-    private Optional<String> freeServer() {
-        double best = 1.0;
-        int ties = 0;
-        Optional<String> choice = Optional.empty();
-        for (ServerSpec server : servers.values()) {
-            double load = (double) slots.inFlight(server.name()) / Math.max(1, server.slots());
-            if (!isUsable(server) || load >= 1.0 || load > best) {
-                continue;
-            }
-            ties = load < best ? 1 : ties + 1;
-            if (load < best || random.nextInt(ties) == 0) {
-                choice = Optional.of(server.name());
-            }
-            best = load;
+    private boolean isTooLate(WaitingTry waiting, long nowNanos) {
+        long usual = serviceTimes.meanNanos(waiting.request().route());
+        return waiting.slackNanos(nowNanos) < usual / 2;
+    }
+
+    private Optional<String> serverFor(WaitingTry waiting, long nowNanos) {
+        Optional<String> best = choice.best(servers.values(), nowNanos);
+        if (best.isPresent() || waiting.request().hedge() || canWait(waiting, nowNanos)) {
+            return best;
+        }
+        return choice.suspected(servers.values(), nowNanos);
+    }
+
+    private boolean canWait(WaitingTry waiting, long nowNanos) {
+        WaitEstimate estimate = estimate(nowNanos);
+        long needed = estimate.waitNanos(queue, 0, serviceTimes)
+                + serviceTimes.meanNanos(waiting.request().route());
+        return choice.hasUnsuspected(servers.values(), nowNanos)
+                && waiting.slackNanos(nowNanos) >= SUSPECTED_SLACK * needed;
+    }
+
+    private void dispatchTrial(long nowNanos) {
+        if (queue.isEmpty()) {
+            return;
         }
-        return choice;
+        health.trialDue(nowNanos)
+                .filter(server -> slots.inFlight(server) < servers.get(server).slots())
+                .ifPresent(server -> queue.takeFirst(waiting -> isFitForTrial(waiting, nowNanos))
+                        .ifPresent(waiting -> dispatch(waiting, server, nowNanos)));
     }
 
-    private boolean isUsable(ServerSpec server) {
-        return !draining.contains(server.name());
+    private boolean isFitForTrial(WaitingTry waiting, long nowNanos) {
+        long usual = serviceTimes.meanNanos(waiting.request().route());
+        return waiting.request().idempotent()
+                && !waiting.request().hedge()
+                && waiting.slackNanos(nowNanos) >= TRIAL_SLACK * usual;
     }
 
-    private int usableSlots() {
-        return servers.values().stream()
-                .filter(this::isUsable)
-                .mapToInt(ServerSpec::slots)
-                .sum();
+    private void dispatch(WaitingTry waiting, String server, long nowNanos) {
+        RequestArrived request = waiting.request();
+        slots.take(new RunningTry(request, server, nowNanos));
+        health.dispatched(request.tryId(), server, request.route(), request.idempotent(), nowNanos);
+        actions.add(new Dispatch(request.tryId(), server));
     }
 
-    private int freeSlots() {
-        return servers.values().stream()
-                .filter(this::isUsable)
-                .mapToInt(server -> Math.max(0, server.slots() - slots.inFlight(server.name())))
-                .sum();
+    private WaitEstimate estimate(long nowNanos) {
+        return choice.estimate(servers.values(), serviceTimes, nowNanos);
+    }
+
+    private long expectedWaitNanos(WaitEstimate estimate) {
+        return estimate.waitNanos(queue, queue.size(), serviceTimes);
     }
 
     @Override
     public GroupStatus status(long nowNanos) {
-        List<ServerStatus> statuses = servers.values().stream()
-                .map(server -> new ServerStatus(
-                        server.name(),
-                        draining.contains(server.name()) ? ServerCondition.DRAINING : ServerCondition.IN_SERVICE,
-                        draining.contains(server.name()) ? "draining" : "",
-                        slots.inFlight(server.name()),
-                        server.slots()))
-                .toList();
-        return new GroupStatus(freeSlots(), queue.size(), expectedWaitNanos(queue.size()), statuses);
+        WaitEstimate estimate = estimate(nowNanos);
+        List<ServerStatus> statuses =
+                servers.values().stream().map(this::status).toList();
+        return new GroupStatus(estimate.free(), queue.size(), expectedWaitNanos(estimate), statuses);
+    }
+
+    private ServerStatus status(ServerSpec server) {
+        ServerCondition condition = health.condition(server.name());
+        return new ServerStatus(
+                server.name(), condition, health.reason(server.name()), slots.inFlight(server.name()), server.slots());
     }
 
     @Override
     public String toString() {
-        return "ServerGroup[" + name + "]";
+        return "ServerGroup[" + name.service() + "/" + name.dataCentre() + "]";
     }
 }
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/AdmissionControl.java
@@ -0,0 +1,40 @@
+package io.coppershelf.admission.internal;
+
+import io.coppershelf.admission.GroupEvent.RequestArrived;
+
+/** Decides at arrival whether a request can be answered in time, the least weighted kinds being refused first. */
+public final class AdmissionControl {
+    /** The multiple of the mean service time that is kept for the service itself. */
+    private static final int SERVICE_MARGIN = 2;
+
+    private final DeadlineQueue queue;
+    private final ServiceTimes serviceTimes;
+    private final WeightShares weightShares = new WeightShares();
+
+    /** Returns the admission to the given queue. */
+    public AdmissionControl(DeadlineQueue queue, ServiceTimes serviceTimes) {
+        this.queue = queue;
+        this.serviceTimes = serviceTimes;
+    }
+
+    /** Returns whether the request can be answered in time, and so may wait. */
+    public boolean admits(RequestArrived request, WaitEstimate estimate, long nowNanos) {
+        weightShares.arrived(request.weight(), nowNanos);
+        if (estimate.slots() == 0) {
+            return false;
+        }
+        int place = queue.insertionIndex(request.deadlineNanos());
+        long wait = estimate.waitNanos(queue, place, serviceTimes);
+        long own = serviceTimes.meanNanos(request.route());
+        return fits(request, wait, own, nowNanos) && estimate.leavesRoom(queue, place, own, serviceTimes, nowNanos);
+    }
+
+    private boolean fits(RequestArrived request, long wait, long own, long nowNanos) {
+        long slack = request.deadlineNanos() - nowNanos;
+        if (wait == 0) {
+            return own <= slack;
+        }
+        double allowed = weightShares.share(request.weight()) * (double) (slack - SERVICE_MARGIN * own);
+        return (double) wait <= allowed;
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/GroupActions.java
@@ -0,0 +1,60 @@
+package io.coppershelf.admission.internal;
+
+import io.coppershelf.admission.GroupAction;
+import io.coppershelf.health.HealthCommands;
+import io.coppershelf.health.ServerCondition;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Gathers the actions of one event in order. */
+public final class GroupActions implements HealthCommands {
+    private List<GroupAction> actions = new ArrayList<>();
+
+    /** Adds an action. */
+    public void add(GroupAction action) {
+        actions.add(action);
+    }
+
+    /** Returns the actions gathered and starts anew. */
+    public List<GroupAction> takeAll() {
+        List<GroupAction> all = actions;
+        actions = new ArrayList<>();
+        return all;
+    }
+
+    @Override
+    public void askEjection(String server, String reason) {
+        add(new GroupAction.AskEjection(server, reason));
+    }
+
+    @Override
+    public void releaseEjection(String server) {
+        add(new GroupAction.ReleaseEjection(server));
+    }
+
+    @Override
+    public void probe(String server) {
+        add(new GroupAction.Probe(server));
+    }
+
+    @Override
+    public void askReachability(String server) {
+        add(new GroupAction.AskReachability(server));
+    }
+
+    @Override
+    public void cancel(String tryId, String server) {
+        add(new GroupAction.CancelOnServer(tryId, server));
+    }
+
+    @Override
+    public void shareUsualTimes(Map<String, Long> usualNanos) {
+        add(new GroupAction.ShareBaseline(usualNanos));
+    }
+
+    @Override
+    public void conditionChanged(String server, ServerCondition from, ServerCondition to, String reason) {
+        add(new GroupAction.ConditionChanged(server, from, to, reason));
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/ServerChoice.java
@@ -0,0 +1,98 @@
+package io.coppershelf.admission.internal;
+
+import io.coppershelf.health.GroupHealth;
+import io.coppershelf.health.ServerCondition;
+import io.coppershelf.ticket.ServerSpec;
+import java.util.Collection;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+/** Chooses the server with the smallest share of its slots taken, among those that may take work now. */
+public final class ServerChoice {
+    private final SlotTable slots;
+    private final GroupHealth health;
+    private final ShedBackoff backoff;
+    private final RandomGenerator random;
+
+    /** Returns the choice by the given figures. */
+    public ServerChoice(SlotTable slots, GroupHealth health, ShedBackoff backoff, RandomGenerator random) {
+        this.slots = slots;
+        this.health = health;
+        this.backoff = backoff;
+        this.random = random;
+    }
+
+    /** Returns the least loaded server that is not suspected. */
+    public Optional<String> best(Collection<ServerSpec> servers, long nowNanos) {
+        return leastLoaded(servers, server -> !isSuspected(server), nowNanos);
+    }
+
+    /** Returns the least loaded server that is suspected. */
+    public Optional<String> suspected(Collection<ServerSpec> servers, long nowNanos) {
+        return leastLoaded(servers, this::isSuspected, nowNanos);
+    }
+
+    private boolean isSuspected(ServerSpec server) {
+        return health.condition(server.name()) == ServerCondition.SUSPECTED;
+    }
+
+    private Optional<String> leastLoaded(
+            Collection<ServerSpec> servers, Predicate<ServerSpec> eligible, long nowNanos) {
+        double best = 1.0;
+        int ties = 0;
+        Optional<String> choice = Optional.empty();
+        for (ServerSpec server : servers) {
+            double load = load(server, nowNanos);
+            if (load >= 1.0 || load > best || !eligible.test(server)) {
+                continue;
+            }
+            ties = load < best ? 1 : ties + 1;
+            if (ties == 1 || random.nextInt(ties) == 0) {
+                choice = Optional.of(server.name());
+            }
+            best = load;
+        }
+        return choice;
+    }
+
+    private double load(ServerSpec server, long nowNanos) {
+        int allowed = health.allowedSlots(server, nowNanos);
+        if (allowed == 0 || backoff.isPaused(server.name(), nowNanos)) {
+            return 1.0;
+        }
+        return (double) slots.inFlight(server.name()) / allowed;
+    }
+
+    /** Returns whether any server that may take work is not suspected. */
+    public boolean hasUnsuspected(Collection<ServerSpec> servers, long nowNanos) {
+        return servers.stream().anyMatch(server -> !isSuspected(server) && health.allowedSlots(server, nowNanos) > 0);
+    }
+
+    /** Returns what works through the queue: the servers in service, or if there is none, the suspected ones. */
+    public WaitEstimate estimate(Collection<ServerSpec> servers, ServiceTimes serviceTimes, long nowNanos) {
+        WaitEstimate good = estimate(servers, server -> !isSuspected(server), serviceTimes, nowNanos);
+        return good.slots() > 0 ? good : estimate(servers, this::isSuspected, serviceTimes, nowNanos);
+    }
+
+    private WaitEstimate estimate(
+            Collection<ServerSpec> servers, Predicate<ServerSpec> eligible, ServiceTimes serviceTimes, long nowNanos) {
+        int all = 0;
+        int free = 0;
+        long residual = 0;
+        for (ServerSpec server : servers) {
+            int allowed = eligible.test(server) ? health.allowedSlots(server, nowNanos) : 0;
+            if (allowed == 0) {
+                continue;
+            }
+            all += allowed;
+            free += backoff.isPaused(server.name(), nowNanos)
+                    ? 0
+                    : Math.max(0, allowed - slots.inFlight(server.name()));
+            for (RunningTry running : slots.running(server.name())) {
+                residual += serviceTimes.residualNanos(running.request().route(), nowNanos - running.dispatchedNanos());
+            }
+        }
+        return new WaitEstimate(all, free, residual);
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/ServiceTimes.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/ServiceTimes.java
@@ -8,6 +8,7 @@
 public final class ServiceTimes {
     private static final long FIRST_GUESS_NANOS = Duration.ofMillis(20).toNanos();
     private static final double SAMPLE_WEIGHT = 0.05;
+    private static final double LEAST_RESIDUAL_SHARE = 0.3;
 
     private final Map<String, Double> meanNanos = new HashMap<>();
 
@@ -22,6 +23,12 @@
         return (long) (mean != null ? mean : overallMeanNanos());
     }
 
+    /** Returns the expected time left of a try of the kind that has run for the given time. */
+    public long residualNanos(String route, long ageNanos) {
+        double mean = (double) meanNanos(route);
+        return (long) Math.max(mean - (double) ageNanos, LEAST_RESIDUAL_SHARE * mean);
+    }
+
     private double overallMeanNanos() {
         return meanNanos.values().stream()
                 .mapToDouble(Double::doubleValue)
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/GroupTime.java
@@ -0,0 +1,9 @@
+package io.coppershelf.health.internal;
+
+/**
+ * The time of an event.
+ *
+ * @param nowNanos the monotonic time, for what is promised to others
+ * @param observedNanos the observed time, for evidence
+ */
+public record GroupTime(long nowNanos, long observedNanos) {}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/ServerEvidence.java
@@ -0,0 +1,86 @@
+package io.coppershelf.health.internal;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** The evidence against one server from the work that it does. */
+public final class ServerEvidence {
+    private final LatencyComparison latency = new LatencyComparison();
+    private final ErrorComparison errors = new ErrorComparison();
+    private final Map<String, WatchedTry> inFlight = new LinkedHashMap<>();
+
+    /** Takes in a try that was dispatched. */
+    public void dispatched(WatchedTry watched) {
+        inFlight.put(watched.tryId(), watched);
+    }
+
+    /** Takes in that a try ended, and returns it. */
+    public Optional<WatchedTry> ended(String tryId) {
+        return Optional.ofNullable(inFlight.remove(tryId));
+    }
+
+    /** Takes in an answer: the tries of its kind that were dispatched before it have been overtaken. */
+    public void answered(WatchedTry answered, long observedNanos) {
+        for (WatchedTry other : inFlight.values()) {
+            if (other.route().equals(answered.route())
+                    && other.ageNanos(observedNanos) > answered.ageNanos(observedNanos)) {
+                other.overtake();
+            }
+        }
+    }
+
+    /** Returns the comparison of service times. */
+    public LatencyComparison latency() {
+        return latency;
+    }
+
+    /** Returns the comparison of errors. */
+    public ErrorComparison errors() {
+        return errors;
+    }
+
+    /** Returns the tries in flight, the oldest first. */
+    public Collection<WatchedTry> inFlight() {
+        return Collections.unmodifiableCollection(inFlight.values());
+    }
+
+    /** Lets old evidence fade. */
+    public void fade(long observedNanos) {
+        latency.fade(observedNanos);
+        errors.fade(observedNanos);
+    }
+
+    /** Forgets all evidence; what is in flight says nothing any more. */
+    public void clear(long observedNanos) {
+        latency.set(0, observedNanos);
+        errors.clear();
+        inFlight.values().forEach(WatchedTry::ignore);
+    }
+
+    /** Returns whether a try is in flight that still says something. */
+    public boolean isAwaitingAnswer() {
+        return inFlight.values().stream().anyMatch(watched -> !watched.isIgnored());
+    }
+
+    /** Returns the evidence in nats and its main cause. */
+    public Finding finding(UsualTimes usualTimes, double slowness, long observedNanos) {
+        double stall = StallDetector.evidence(inFlight.values(), usualTimes, slowness, observedNanos);
+        double slow = latency.evidence();
+        double failing = errors.evidence();
+        if (failing >= stall + slow) {
+            return new Finding(failing, "errors");
+        }
+        return new Finding(stall + slow, stall >= slow ? "stalled" : "slow");
+    }
+
+    /**
+     * Evidence against a server.
+     *
+     * @param nats its strength
+     * @param cause the main cause
+     */
+    public record Finding(double nats, String cause) {}
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/UsualTime.java
@@ -0,0 +1,30 @@
+package io.coppershelf.health.internal;
+
+/**
+ * The usual service time of a request kind, as a distribution of its logarithm.
+ *
+ * @param logMean the mean of the natural logarithm of nanoseconds
+ * @param logDeviation the standard deviation of that logarithm
+ */
+public record UsualTime(double logMean, double logDeviation) {
+    /** The standard deviation of the standard logistic distribution. */
+    private static final double LOGISTIC_DEVIATION = Math.PI / Math.sqrt(3);
+
+    /** Returns how far a service time is above the usual one, as a difference of logarithms. */
+    public double deviation(long nanos) {
+        return Math.log(Math.max(1.0, (double) nanos)) - logMean;
+    }
+
+    /**
+     * Returns how surprising it is that a try has run for so long: the negative logarithm of the probability, in nats.
+     * Service times are taken as log-logistic, whose tail is heavier than that of a log-normal distribution.
+     */
+    public double surprise(long ageNanos) {
+        return Math.log1p(Math.exp(deviation(ageNanos) / logDeviation * LOGISTIC_DEVIATION));
+    }
+
+    /** Returns the usual time of a server that is slower than the others by the given factor. */
+    public UsualTime slowedBy(double factor) {
+        return new UsualTime(logMean + Math.log(factor), logDeviation);
+    }
+}
--- a/coppershelf/src/test/java/io/coppershelf/admission/GroupDriver.java
+++ b/coppershelf/src/test/java/io/coppershelf/admission/GroupDriver.java
@@ -1,29 +1,42 @@
 package io.coppershelf.admission;
 
+import io.coppershelf.admission.GroupAction.CancelOnServer;
+import io.coppershelf.admission.GroupAction.Dispatch;
 import io.coppershelf.admission.GroupEvent.Configured;
 import io.coppershelf.admission.GroupEvent.RequestArrived;
 import io.coppershelf.admission.GroupEvent.Tick;
 import io.coppershelf.admission.GroupEvent.TryEnded;
+import io.coppershelf.admission.GroupStatus.ServerStatus;
 import io.coppershelf.backend.BackendResult.ServerState;
 import io.coppershelf.outcome.ErrorKind;
 import io.coppershelf.ticket.ServerSpec;
 import io.coppershelf.ticket.ServiceSpec;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 
 /** Drives a server group in virtual time and keeps what it wants done. */
 final class GroupDriver {
+    static final Duration USUAL = Duration.ofMillis(50);
     static final String READ = "rotavis/week";
     static final String CLAIM = "rotavis/claim";
 
     final ServerGroup group = ServerGroup.create(new GroupName("rotavis", "herning"), new Random(1));
     final List<GroupAction> actions = new ArrayList<>();
     long now;
+    private final Map<String, Sent> sent = new LinkedHashMap<>();
+    private final Set<String> stalled = new HashSet<>();
+    private boolean serving;
     private int tries;
 
+    private record Sent(String server, long dueNanos) {}
+
     static ServerSpec server(String name, int slots, boolean draining) {
         return new ServerSpec(name, "rotavis", "herning", "127.0.0.1", 1, slots, 330, draining);
     }
@@ -35,6 +48,7 @@
     GroupDriver send(GroupEvent event) {
         actions.clear();
         actions.addAll(group.on(event, now));
+        remember(actions);
         return this;
     }
 
@@ -42,7 +56,7 @@
         List<GroupAction> all = new ArrayList<>();
         for (long left = time.toMillis(); left > 0; left -= 50) {
             now += Duration.ofMillis(Math.min(left, 50)).toNanos();
-            all.addAll(group.on(new Tick(), now));
+            all.addAll(step());
         }
         actions.clear();
         actions.addAll(all);
@@ -64,11 +78,82 @@
     }
 
     GroupDriver answer(String tryId, int status, ServerState state) {
+        sent.remove(tryId);
         return send(new TryEnded(tryId, Optional.of(status), Optional.empty(), state));
     }
 
     GroupDriver fail(String tryId, ErrorKind error, ServerState state) {
-        return send(new TryEnded(tryId, Optional.empty(), Optional.of(error), state));
+        return send(ended(tryId, error, state));
+    }
+
+    /** Lets the servers answer by themselves, in {@link #USUAL}. */
+    GroupDriver serve() {
+        serving = true;
+        return this;
+    }
+
+    /** Lets a server answer nothing any more. */
+    GroupDriver stall(String server) {
+        stalled.add(server);
+        return this;
+    }
+
+    /** Lets a server answer again what is sent from now on. */
+    GroupDriver heal(String server) {
+        stalled.remove(server);
+        return this;
+    }
+
+    /** Sends a request every 10 ms for the given time; keeps the actions of the whole time. */
+    GroupDriver load(String route, Duration time) {
+        List<GroupAction> all = new ArrayList<>();
+        for (long left = time.toMillis(); left > 0; left -= 10) {
+            request(route, 1, Duration.ofSeconds(5));
+            all.addAll(actions);
+            now += Duration.ofMillis(10).toNanos();
+            all.addAll(step());
+        }
+        actions.clear();
+        actions.addAll(all);
+        return this;
+    }
+
+    private List<GroupAction> step() {
+        List<GroupAction> all = new ArrayList<>(group.on(new Tick(), now));
+        remember(all);
+        for (Map.Entry<String, Sent> entry : List.copyOf(sent.entrySet())) {
+            if (entry.getValue().dueNanos() <= now
+                    && !stalled.contains(entry.getValue().server())) {
+                answer(entry.getKey());
+                all.addAll(actions);
+            }
+        }
+        return all;
+    }
+
+    private void remember(List<GroupAction> wanted) {
+        if (!serving) {
+            return;
+        }
+        for (GroupAction action : wanted) {
+            if (action instanceof Dispatch dispatch) {
+                sent.put(dispatch.tryId(), new Sent(dispatch.server(), now + USUAL.toNanos()));
+            } else if (action instanceof CancelOnServer cancel && sent.containsKey(cancel.tryId())) {
+                remember(group.on(ended(cancel.tryId(), ErrorKind.DEADLINE_PASSED, ServerState.UNSTATED), now));
+            }
+        }
+    }
+
+    private TryEnded ended(String tryId, ErrorKind error, ServerState state) {
+        sent.remove(tryId);
+        return new TryEnded(tryId, Optional.empty(), Optional.of(error), state);
+    }
+
+    ServerStatus status(String server) {
+        return group.status(now).servers().stream()
+                .filter(status -> status.server().equals(server))
+                .findFirst()
+                .orElseThrow();
     }
 
     <T extends GroupAction> List<T> all(Class<T> type) {
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/admission/ServerGroupHealthTest.java
@@ -0,0 +1,201 @@
+package io.coppershelf.admission;
+
+import static com.google.common.truth.Truth.assertThat;
+import static io.coppershelf.admission.GroupDriver.READ;
+import static io.coppershelf.admission.GroupDriver.USUAL;
+import static io.coppershelf.admission.GroupDriver.server;
+
+import io.coppershelf.admission.GroupAction.AskEjection;
+import io.coppershelf.admission.GroupAction.AskReachability;
+import io.coppershelf.admission.GroupAction.CancelOnServer;
+import io.coppershelf.admission.GroupAction.Dispatch;
+import io.coppershelf.admission.GroupAction.ReleaseEjection;
+import io.coppershelf.admission.GroupEvent.EjectionGranted;
+import io.coppershelf.admission.GroupEvent.EjectionRevoked;
+import io.coppershelf.admission.GroupEvent.ProbeEnded;
+import io.coppershelf.admission.GroupEvent.ReachabilityHeard;
+import io.coppershelf.admission.GroupEvent.Tick;
+import io.coppershelf.backend.BackendResult.ServerState;
+import io.coppershelf.health.ServerCondition;
+import io.coppershelf.outcome.ErrorKind;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class ServerGroupHealthTest {
+    private static final Duration SECOND = Duration.ofSeconds(1);
+    private static final Duration DEADLINE = Duration.ofSeconds(10);
+
+    private final GroupDriver driver = new GroupDriver();
+
+    @BeforeEach
+    void learnUsualTimes() {
+        driver.configure(server("a", 2, false), server("b", 2, false), server("c", 2, false));
+        driver.serve().load(READ, Duration.ofSeconds(2)).pass(SECOND);
+    }
+
+    @Test
+    void suspectsAndAsksToEjectAStalledServerBeforeAnyAnswerIsLate() {
+        driver.stall("a").load(READ, SECOND);
+        assertThat(condition("a")).isEqualTo(ServerCondition.SUSPECTED);
+        assertThat(driver.all(AskReachability.class)).contains(new AskReachability("a"));
+        assertThat(driver.all(AskEjection.class)).isEmpty();
+        driver.send(new ProbeEnded("a", Optional.of(ServerState.READY))).load(READ, SECOND);
+        assertThat(driver.all(AskEjection.class)).containsExactly(new AskEjection("a", "stalled"));
+    }
+
+    @Test
+    void cancelsOverdueRepeatableTriesOfASickServer() {
+        driver.stall("a").load(READ, SECOND);
+        driver.send(new ProbeEnded("a", Optional.of(ServerState.READY))).load(READ, SECOND);
+        assertThat(driver.all(CancelOnServer.class)).isNotEmpty();
+    }
+
+    @Test
+    void sendsNothingToAnEjectedServer() {
+        eject("a", Duration.ofHours(1));
+        assertThat(condition("a")).isEqualTo(ServerCondition.EJECTED);
+        driver.load(READ, SECOND);
+        assertThat(driver.all(Dispatch.class).stream().map(Dispatch::server).distinct())
+                .containsExactly("b", "c");
+    }
+
+    @Test
+    void returnsToSuspicionWhenTheRightLapses() {
+        eject("a", Duration.ofSeconds(4));
+        driver.pass(Duration.ofSeconds(4));
+        assertThat(condition("a")).isEqualTo(ServerCondition.SUSPECTED);
+    }
+
+    @Test
+    void returnsToSuspicionWhenTheRightIsRevoked() {
+        eject("a", Duration.ofSeconds(4));
+        driver.send(new EjectionRevoked("a"));
+        assertThat(condition("a")).isEqualTo(ServerCondition.SUSPECTED);
+    }
+
+    @Test
+    void renewsTheRightBeforeItEnds() {
+        eject("a", Duration.ofSeconds(4));
+        driver.pass(Duration.ofSeconds(3));
+        assertThat(driver.all(AskEjection.class)).isNotEmpty();
+    }
+
+    @Test
+    void returnsToServiceAfterGoodAnswersInProbation() {
+        eject("a", Duration.ofHours(1));
+        driver.heal("a").pass(Duration.ofSeconds(6));
+        assertThat(condition("a")).isEqualTo(ServerCondition.PROBATION);
+        driver.load(READ, Duration.ofSeconds(5));
+        assertThat(driver.all(ReleaseEjection.class)).containsExactly(new ReleaseEjection("a"));
+        assertThat(condition("a")).isEqualTo(ServerCondition.IN_SERVICE);
+    }
+
+    @Test
+    void ejectsAgainAServerThatFailsItsProbation() {
+        eject("a", Duration.ofHours(1));
+        driver.pass(Duration.ofSeconds(6)).load(READ, Duration.ofSeconds(2));
+        long trials = driver.all(Dispatch.class).stream()
+                .filter(sent -> sent.server().equals("a"))
+                .count();
+        assertThat(trials).isEqualTo(1);
+        assertThat(condition("a")).isEqualTo(ServerCondition.EJECTED);
+    }
+
+    @Test
+    void avoidsButDoesNotEjectAServerThatOnlyThisVmCannotReach() {
+        driver.stall("a").load(READ, SECOND);
+        driver.send(new ProbeEnded("a", Optional.empty()));
+        driver.send(new ReachabilityHeard("a", true));
+        driver.load(READ, Duration.ofSeconds(4));
+        assertThat(driver.all(AskEjection.class)).isEmpty();
+        assertThat(driver.all(Dispatch.class).stream().map(Dispatch::server).distinct())
+                .containsExactly("b", "c");
+        assertThat(driver.status("a").reason()).isEqualTo("unreachable from this VM");
+    }
+
+    @Test
+    void asksToEjectAServerThatOthersCannotReachEither() {
+        GroupDriver manual = new GroupDriver();
+        manual.configure(server("a", 2, false), server("b", 2, false));
+        for (int failure = 0; failure < 20; failure++) {
+            manual.request(READ, 1, DEADLINE);
+            Dispatch sent = manual.all(Dispatch.class).get(0);
+            if (sent.server().equals("a")) {
+                manual.fail(sent.tryId(), ErrorKind.SERVER_REFUSED, ServerState.UNSTATED);
+            } else {
+                manual.answer(sent.tryId());
+            }
+        }
+        assertThat(manual.status("a").condition()).isEqualTo(ServerCondition.SUSPECTED);
+        manual.send(new ReachabilityHeard("a", false));
+        assertThat(manual.all(AskEjection.class)).containsExactly(new AskEjection("a", "unreachable from several VMs"));
+    }
+
+    @Test
+    void takesItsOwnPauseForNoEvidence() {
+        List<String> tries = new ArrayList<>();
+        driver.stall("a").stall("b").stall("c");
+        for (int request = 0; request < 6; request++) {
+            tries.add(driver.request(READ, 1, DEADLINE));
+        }
+        driver.now += Duration.ofSeconds(30).toNanos();
+        tries.forEach(tryId -> driver.fail(tryId, ErrorKind.DEADLINE_PASSED, ServerState.UNSTATED));
+        driver.send(new Tick());
+        assertThat(conditions()).containsExactly(ServerCondition.IN_SERVICE);
+    }
+
+    @Test
+    void asksToEjectNoServerWhileAllAreSuspected() {
+        driver.stall("a").stall("b").stall("c").load(READ, SECOND);
+        List.of("a", "b", "c").forEach(name -> driver.send(new ProbeEnded(name, Optional.of(ServerState.READY))));
+        assertThat(driver.all(AskEjection.class)).isEmpty();
+        assertThat(conditions()).containsExactly(ServerCondition.SUSPECTED);
+    }
+
+    @Test
+    void takesShedAnswersForNoEvidence() {
+        for (int refusal = 0; refusal < 40; refusal++) {
+            String tryId = driver.request(READ, 1, DEADLINE);
+            driver.fail(tryId, ErrorKind.SERVER_REFUSED, ServerState.SHEDDING).pass(USUAL);
+        }
+        assertThat(conditions()).containsExactly(ServerCondition.IN_SERVICE);
+    }
+
+    @Test
+    void suspectsAServerThatFailsOneKindOnly() {
+        for (int round = 0; round < 20; round++) {
+            String tryId = driver.request(READ, 1, DEADLINE);
+            boolean sick = driver.all(Dispatch.class).get(0).server().equals("a");
+            driver.answer(tryId, sick ? 500 : 200, ServerState.READY);
+        }
+        assertThat(condition("a")).isEqualTo(ServerCondition.SUSPECTED);
+        assertThat(driver.status("a").reason()).isEqualTo("errors");
+    }
+
+    @Test
+    void givesBackARightThatItDoesNotNeed() {
+        driver.send(new EjectionGranted("b", driver.now + DEADLINE.toNanos()));
+        assertThat(driver.all(ReleaseEjection.class)).containsExactly(new ReleaseEjection("b"));
+    }
+
+    private void eject(String name, Duration right) {
+        driver.stall(name).load(READ, SECOND);
+        driver.send(new ProbeEnded(name, Optional.of(ServerState.READY))).load(READ, SECOND);
+        driver.send(new EjectionGranted(name, driver.now + right.toNanos()));
+    }
+
+    private ServerCondition condition(String name) {
+        return driver.status(name).condition();
+    }
+
+    private List<ServerCondition> conditions() {
+        return driver.group.status(driver.now).servers().stream()
+                .map(GroupStatus.ServerStatus::condition)
+                .distinct()
+                .toList();
+    }
+}
