Floor: several VMs in virtual time under faults

Cause: the floor must hold under split, pause, restart, loss, late and repeated messages and two lists.

--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/floor/internal/FakeFleetView.java
@@ -0,0 +1,35 @@
+package io.coppershelf.floor.internal;
+
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.membership.Vm;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** A view of the fleet from a list; ranks by a hash of key and id. */
+public record FakeFleetView(Vm self, List<Vm> vms, Set<String> unreachable) implements FleetView {
+    /** Returns a VM of the given name and start. */
+    public static Vm vm(String id, long incarnation) {
+        return new Vm(id, incarnation, "herning", "127.0.0.1", 1, 2, false);
+    }
+
+    @Override
+    public Optional<Vm> vm(String id) {
+        return vms.stream().filter(vm -> vm.id().equals(id)).findFirst();
+    }
+
+    @Override
+    public boolean isReachable(String id) {
+        return !unreachable.contains(id);
+    }
+
+    @Override
+    public List<Vm> ranked(String key, String preferredDataCentre, int limit) {
+        return vms.stream()
+                .sorted(Comparator.comparing((Vm vm) -> (key + vm.id()).hashCode() * 0x9E3779B9)
+                        .thenComparing(Vm::id))
+                .limit(limit)
+                .toList();
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/floor/internal/FloorSafetyTest.java
@@ -0,0 +1,162 @@
+package io.coppershelf.floor.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Never below the floor, whatever happens; and rights up to the floor once the faults are over. */
+class FloorSafetyTest {
+    private static final int SEEDS = 8;
+    private static final FakeConfiguration RULES = new FakeConfiguration(1, 14, 11, 0);
+    private static final Duration WARM_UP = Duration.ofSeconds(35);
+    private static final Duration RECOVERY = Duration.ofSeconds(60);
+
+    static Stream<Arguments> faultsAndSeeds() {
+        return Stream.of(Fault.values())
+                .flatMap(
+                        fault -> Stream.iterate(1, n -> n <= SEEDS, n -> n + 1).map(seed -> Arguments.of(fault, seed)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("faultsAndSeeds")
+    void neverEjectsBelowTheFloorAndRecovers(Fault fault, int seed) {
+        FloorFleet fleet = new FloorFleet(seed, 9, RULES);
+        fleet.run(WARM_UP);
+        Random random = new Random(seed);
+        for (int i = 0; i < 4; i++) {
+            fault.strike(fleet, random);
+            fleet.run(Duration.ofMillis(5_000 + random.nextInt(10_000)));
+        }
+        fleet.healAll();
+        fleet.ids().forEach(id -> fleet.list(id, fleet.ids(), Set.of()));
+        fleet.run(RECOVERY);
+        fleet.forgetMost();
+        fleet.run(Duration.ofSeconds(5));
+        assertThat(fleet.mostOut()).isEqualTo(3);
+    }
+
+    @Test
+    void raisedFloorReturnsServersAtOnceOnEachVmThatKnowsIt() {
+        FloorFleet fleet = new FloorFleet(1, 9, RULES);
+        fleet.run(WARM_UP);
+        FakeConfiguration raised = new FakeConfiguration(2, 14, 13, 0);
+        fleet.ids().forEach(id -> fleet.configure(id, raised));
+        assertThat(fleet.ejected()).isEmpty();
+        fleet.expect(raised);
+        fleet.run(RECOVERY);
+        assertThat(fleet.mostOut()).isAtLeast(1);
+    }
+
+    @Test
+    void drainingServersCountAgainstTheFloor() {
+        FloorFleet fleet = new FloorFleet(1, 9, new FakeConfiguration(1, 14, 11, 3));
+        fleet.run(WARM_UP);
+        assertThat(fleet.ejected()).doesNotContain(FakeConfiguration.server(7));
+    }
+
+    @Test
+    void reportedServersCountAgainstTheFloorWhateverVmIsGranter() {
+        FloorFleet fleet = new FloorFleet(1, 9, RULES);
+        fleet.ids().forEach(id -> List.of(0, 1, 2).forEach(server -> fleet.tellDraining(id, server)));
+        fleet.run(WARM_UP);
+        assertThat(fleet.ejected()).containsNoneOf(FakeConfiguration.server(3), FakeConfiguration.server(9));
+    }
+
+    @ParameterizedTest
+    @MethodSource("smallFleets")
+    void smallFleetsGrantOnlyWithThreeVotersOrMore(int vms, boolean grants) {
+        FloorFleet fleet = new FloorFleet(1, vms, RULES);
+        fleet.lose(0);
+        fleet.run(WARM_UP);
+        assertThat(fleet.mostOut() > 0).isEqualTo(grants);
+    }
+
+    static Stream<Arguments> smallFleets() {
+        return Stream.of(
+                Arguments.of(1, false),
+                Arguments.of(2, false),
+                Arguments.of(3, true),
+                Arguments.of(4, true),
+                Arguments.of(36, true));
+    }
+
+    enum Fault {
+        NONE {
+            @Override
+            void strike(FloorFleet fleet, Random random) {}
+        },
+        LOSS {
+            @Override
+            void strike(FloorFleet fleet, Random random) {
+                fleet.lose(0.4);
+            }
+        },
+        PAUSE {
+            @Override
+            void strike(FloorFleet fleet, Random random) {
+                fleet.pause(any(fleet, random), Duration.ofSeconds(30));
+                fleet.pause(any(fleet, random), Duration.ofMillis(500 + random.nextInt(12_000)));
+            }
+        },
+        RESTART {
+            @Override
+            void strike(FloorFleet fleet, Random random) {
+                fleet.restart(any(fleet, random));
+                fleet.restart(any(fleet, random));
+            }
+        },
+        CUT_ONE_WAY {
+            @Override
+            void strike(FloorFleet fleet, Random random) {
+                String cut = any(fleet, random);
+                boolean in = random.nextBoolean();
+                fleet.ids().forEach(id -> fleet.cut(in ? id : cut, in ? cut : id));
+            }
+        },
+        SPLIT {
+            @Override
+            void strike(FloorFleet fleet, Random random) {
+                fleet.healAll();
+                int at = 1 + random.nextInt(fleet.ids().size() - 1);
+                List<String> left = fleet.ids().subList(0, at);
+                List<String> right = fleet.ids().subList(at, fleet.ids().size());
+                left.forEach(a -> right.forEach(b -> {
+                    fleet.cut(a, b);
+                    fleet.cut(b, a);
+                }));
+                left.forEach(id -> fleet.list(id, fleet.ids(), Set.copyOf(right)));
+                right.forEach(id -> fleet.list(id, fleet.ids(), Set.copyOf(left)));
+            }
+        },
+        TWO_LISTS {
+            @Override
+            void strike(FloorFleet fleet, Random random) {
+                List<String> shorter =
+                        fleet.ids().subList(random.nextInt(3), fleet.ids().size());
+                fleet.ids().forEach(id -> fleet.list(id, random.nextBoolean() ? shorter : fleet.ids(), Set.of()));
+            }
+        },
+        ALL {
+            @Override
+            void strike(FloorFleet fleet, Random random) {
+                Fault[] others = {LOSS, PAUSE, RESTART, CUT_ONE_WAY, SPLIT, TWO_LISTS};
+                others[random.nextInt(others.length)].strike(fleet, random);
+                others[random.nextInt(others.length)].strike(fleet, random);
+            }
+        };
+
+        abstract void strike(FloorFleet fleet, Random random);
+
+        private static String any(FloorFleet fleet, Random random) {
+            return fleet.ids().get(random.nextInt(fleet.ids().size()));
+        }
+    }
+}
