--- a/bench/src/main/java/io/coppershelf/bench/BenchProgram.java
+++ b/bench/src/main/java/io/coppershelf/bench/BenchProgram.java
@@ -1,7 +1,9 @@
 package io.coppershelf.bench;
 
 import io.coppershelf.bench.backend.BackendMain;
+import io.coppershelf.bench.demo.DemoMain;
 import io.coppershelf.bench.overhead.OverheadBench;
+import io.coppershelf.bench.platform.PlatformMain;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -13,8 +15,11 @@
  * @param body what it runs
  */
 record BenchProgram(String name, Body body) {
-    private static final List<BenchProgram> ALL =
-            List.of(new BenchProgram("backends", BackendMain::main), new BenchProgram("overhead", OverheadBench::main));
+    private static final List<BenchProgram> ALL = List.of(
+            new BenchProgram("backends", BackendMain::main),
+            new BenchProgram("platform", PlatformMain::main),
+            new BenchProgram("demo", DemoMain::main),
+            new BenchProgram("overhead", OverheadBench::main));
 
     static Optional<BenchProgram> named(String name) {
         return ALL.stream().filter(program -> program.name.equals(name)).findFirst();
--- /dev/null
+++ b/bench/src/main/java/io/coppershelf/bench/demo/package-info.java
@@ -0,0 +1,2 @@
+/** Shows the main job with real processes: every request kind, a ticket, a drain and a stalled server under load. */
+package io.coppershelf.bench.demo;
--- a/bench/src/main/java/io/coppershelf/bench/overhead/OverheadBench.java
+++ b/bench/src/main/java/io/coppershelf/bench/overhead/OverheadBench.java
@@ -4,7 +4,7 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import io.coppershelf.bench.backend.BackendMain;
+import io.coppershelf.bench.fleet.TicketFile;
 import io.coppershelf.bench.load.CallResult;
 import io.coppershelf.bench.load.ClosedLoop;
 import io.coppershelf.bench.load.LatencySummary;
@@ -144,15 +144,14 @@
     }
 
     private RouteSpec idempotentRoute() throws IOException {
-        return BackendMain.routesOf(Path.of(ticket)).stream()
+        return TicketFile.read(Path.of(ticket)).routes().stream()
                 .filter(RouteSpec::idempotent)
                 .findFirst()
                 .orElseThrow(() -> new IOException("expected an idempotent route in " + ticket));
     }
 
     private List<URI> serversOf(RouteSpec route) throws IOException {
-        return BackendMain.serversOf(Path.of(ticket)).stream()
-                .filter(server -> server.service().equals(route.service()))
+        return TicketFile.read(Path.of(ticket)).servers(route.service()).stream()
                 .map((ServerSpec server) -> URI.create("http://" + server.host() + ":" + server.port()))
                 .toList();
     }
--- a/bin/lib/fleet.sh
+++ b/bin/lib/fleet.sh
@@ -72,3 +72,49 @@
         *) echo "thess-a thess-b thess-c thess-d" ;;
     esac
 }
+
+# write_vms FILE COUNT DC...: the platform's list of the VMs 1 to COUNT.
+write_vms() {
+    local file=$1 count=$2 n
+    shift 2
+    {
+        echo '{"vms": ['
+        for n in $(seq 1 "$count"); do
+            [ "$n" -gt 1 ] && echo ','
+            printf '{"id": "vm-%s", "incarnation": 1, "dataCentre": "%s", "host": "%s", "peerPort": %s, "operatorPort": %s, "leaving": false}' \
+                "$n" "$(vm_data_centre "$n" "$@")" "$(vm_host "$n")" "$PEER_PORT" "$OPERATOR_PORT"
+        done
+        echo ']}'
+    } >"$file"
+}
+
+# start_stand_ins CUSTOMER COUNT: the platform with the customer's tickets and COUNT VMs, and all backend servers.
+start_stand_ins() {
+    local directory data_centres ticket
+    directory=$(customer_directory "$1")
+    data_centres=$(customer_data_centres "$1")
+    ticket=$(ls "$directory"/tickets/*.json | head -n 1)
+    # shellcheck disable=SC2086
+    write_vms "$RUN_DIR/vms.json" "$2" $data_centres
+    start platform java -Xmx128m -cp "$(bench_classpath)" io.coppershelf.bench.BenchMain \
+        platform --port "$PLATFORM_PORT" --tickets "$directory/tickets" --vms "$RUN_DIR/vms.json"
+    start backends java -Xmx512m -cp "$(bench_classpath)" io.coppershelf.bench.BenchMain \
+        backends --ticket "$ticket" --admin-port "$BACKEND_ADMIN_PORT"
+    wait_for_line platform "listens on"
+    wait_for_line backends "servers are ready"
+}
+
+# start_daemons CUSTOMER COUNT: the daemons of the VMs 1 to COUNT; returns when all are ready. Sets DAEMON_PIDS.
+start_daemons() {
+    local data_centres n
+    data_centres=$(customer_data_centres "$1")
+    DAEMON_PIDS=()
+    for n in $(seq 1 "$2"); do
+        # shellcheck disable=SC2086
+        start_daemon "$n" "$(vm_data_centre "$n" $data_centres)"
+        DAEMON_PIDS+=("$LAST_PID")
+    done
+    for n in $(seq 1 "$2"); do
+        wait_for_http "http://$(vm_host "$n"):$OPERATOR_PORT/ready"
+    done
+}
