Slopes of what objects, VMs, requests and tickets cost

Cause: the size of two years from now must be worked out from measured slopes. Change: bin/bench slopes with memory, processor time and bytes at several sizes and a least-squares fit; bin/bench as a dispatcher.

--- a/bench/src/main/java/io/coppershelf/bench/BenchProgram.java
+++ b/bench/src/main/java/io/coppershelf/bench/BenchProgram.java
@@ -4,6 +4,7 @@
 import io.coppershelf.bench.demo.DemoMain;
 import io.coppershelf.bench.overhead.OverheadBench;
 import io.coppershelf.bench.platform.PlatformMain;
+import io.coppershelf.bench.slopes.SlopesBench;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -19,6 +20,7 @@
             new BenchProgram("backends", BackendMain::main),
             new BenchProgram("platform", PlatformMain::main),
             new BenchProgram("demo", DemoMain::main),
+            new BenchProgram("slopes", SlopesBench::main),
             new BenchProgram("overhead", OverheadBench::main));
 
     static Optional<BenchProgram> named(String name) {
--- /dev/null
+++ b/bin/lib/bench-slopes.sh
@@ -0,0 +1,1 @@
+java -Xmx6g -XX:+UseSerialGC -cp "$(bench_classpath)" io.coppershelf.bench.BenchMain slopes "$@"
--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -62,12 +62,11 @@
     done
 }
 
-# stop_planned PID: sends SIGTERM and waits; fails if the exit code is neither 0 nor 143.
+# stop_planned PID: sends SIGTERM and waits; sets STOP_CODE to the exit status.
 stop_planned() {
-    local pid=$1 code=0
-    kill -TERM "$pid"
-    wait "$pid" || code=$?
-    echo "$code"
+    STOP_CODE=0
+    kill -TERM "$1"
+    wait "$1" || STOP_CODE=$?
 }
 
 stop_all() {
