--- a/bench/src/main/java/io/coppershelf/bench/overhead/DaemonFigures.java
+++ b/bench/src/main/java/io/coppershelf/bench/overhead/DaemonFigures.java
@@ -19,8 +19,7 @@
         HttpRequest request =
                 HttpRequest.newBuilder(operator.resolve("/metrics")).build();
         String text = HTTP.send(request, HttpResponse.BodyHandlers.ofString()).body();
-        return new DaemonFigures(
-                value(text, "process_cpu_seconds_total"), value(text, "jvm_heap_used_bytes"));
+        return new DaemonFigures(value(text, "process_cpu_seconds_total"), value(text, "jvm_heap_used_bytes"));
     }
 
     private static double value(String text, String metric) {
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/cli/ExitCode.java
@@ -0,0 +1,17 @@
+package io.coppershelf.cli;
+
+/** The exit codes of the commands. */
+final class ExitCode {
+    /** What was asked for was done. */
+    static final int OK = 0;
+    /** What was asked for failed. */
+    static final int FAILED = 1;
+    /** The command line is not valid. */
+    static final int USAGE = 2;
+    /** A file is not valid. */
+    static final int INVALID_FILE = 3;
+    /** A daemon can't be reached. */
+    static final int NOT_REACHABLE = 4;
+
+    private ExitCode() {}
+}
--- a/coppershelf/src/main/java/io/coppershelf/cli/Main.java
+++ b/coppershelf/src/main/java/io/coppershelf/cli/Main.java
@@ -5,11 +5,11 @@
     private Main() {}
 
     /**
-     * Runs one command.
+     * Runs one command and exits with its code.
      *
      * @param args the words of the command line
      */
-    public static void main(String[] args) {
-        System.out.println("coppershelf");
+    public static void main(String[] args) throws InterruptedException {
+        System.exit(CommandLine.run(args, new Console(System.out, System.err)));
     }
 }
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/cli/NoCommand.java
@@ -0,0 +1,12 @@
+package io.coppershelf.cli;
+
+import com.github.rvesse.airline.annotations.Command;
+
+/** Stands in where the command line names no command. */
+@Command(name = "no-command", description = "Says that a command is missing", hidden = true)
+public final class NoCommand implements CliCommand {
+    @Override
+    public int run(Console console) {
+        throw new UsageException("a command is missing");
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/cli/internal/Fleet.java
@@ -0,0 +1,31 @@
+package io.coppershelf.cli.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Finds the daemons of a fleet from some of them. */
+public final class Fleet {
+    private Fleet() {}
+
+    /** Returns the given daemons and all that the first of them which answers counts as live. */
+    public static List<DaemonAddress> expand(List<DaemonAddress> known, OperatorClient client) {
+        Set<DaemonAddress> all = new LinkedHashSet<>(known);
+        known.stream()
+                .map(daemon -> client.ask(daemon, "/status"))
+                .flatMap(Optional::stream)
+                .findFirst()
+                .ifPresent(status -> all.addAll(members(status)));
+        return List.copyOf(all);
+    }
+
+    private static Collection<DaemonAddress> members(JsonNode status) {
+        Set<DaemonAddress> members = new LinkedHashSet<>();
+        status.path("fleet")
+                .forEach(vm -> members.add(DaemonAddress.parse(vm.path("at").asText())));
+        return members;
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/cli/internal/FleetReport.java
@@ -0,0 +1,84 @@
+package io.coppershelf.cli.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * The status of a fleet, put together from one daemon and the owners of the server groups that it names.
+ *
+ * @param status the status document of the daemon that was asked
+ * @param services the services
+ * @param unreachable the owners that gave no answer
+ */
+public record FleetReport(JsonNode status, List<ServiceReport> services, List<DaemonAddress> unreachable) {
+    /** Collects the status; empty if the daemon gives no answer. */
+    public static Optional<FleetReport> collect(DaemonAddress daemon, OperatorClient client) {
+        return client.ask(daemon, "/status").map(status -> collect(status, client));
+    }
+
+    private static FleetReport collect(JsonNode status, OperatorClient client) {
+        Map<DaemonAddress, Optional<JsonNode>> answers = client.askAll(owners(status), "/status");
+        Map<String, JsonNode> servers = new HashMap<>();
+        answers.values().forEach(answer -> answer.ifPresent(owner -> collectServers(owner, servers)));
+        List<ServiceReport> services = new ArrayList<>();
+        status.path("services").forEach(service -> services.add(service(service, servers)));
+        List<DaemonAddress> unreachable = answers.entrySet().stream()
+                .filter(entry -> entry.getValue().isEmpty())
+                .map(Map.Entry::getKey)
+                .toList();
+        return new FleetReport(status, services, unreachable);
+    }
+
+    private static Set<DaemonAddress> owners(JsonNode status) {
+        Set<String> addresses = new TreeSet<>();
+        for (JsonNode service : status.path("services")) {
+            service.path("owners")
+                    .forEach(owner -> addresses.add(owner.path("at").asText()));
+        }
+        Set<DaemonAddress> owners = new java.util.LinkedHashSet<>();
+        addresses.forEach(address -> owners.add(DaemonAddress.parse(address)));
+        return owners;
+    }
+
+    private static void collectServers(JsonNode owner, Map<String, JsonNode> servers) {
+        for (JsonNode group : owner.path("groups")) {
+            group.path("servers")
+                    .forEach(server -> servers.put(server.path("server").asText(), server));
+        }
+    }
+
+    private static ServiceReport service(JsonNode node, Map<String, JsonNode> servers) {
+        List<ServerReport> reports = new ArrayList<>();
+        node.path("servers").forEach(server -> reports.add(server(server, servers)));
+        return new ServiceReport(
+                node.path("service").asText(),
+                node.path("floor").asInt(),
+                node.path("detectionWeight").asDouble(),
+                node.path("ticket").asLong(),
+                reports);
+    }
+
+    private static ServerReport server(JsonNode configured, Map<String, JsonNode> servers) {
+        String name = configured.path("server").asText();
+        String dataCentre = configured.path("dataCentre").asText();
+        Optional<JsonNode> known = Optional.ofNullable(servers.get(name));
+        if (known.isEmpty()) {
+            return new ServerReport(name, dataCentre, ServerReport.UNKNOWN, "its owner does not tell of it", 0, 0);
+        }
+        JsonNode server = known.get();
+        return new ServerReport(
+                name,
+                dataCentre,
+                server.path("condition").asText().toLowerCase(Locale.ROOT).replace('_', '-'),
+                server.path("reason").asText(),
+                server.path("inFlight").asInt(),
+                server.path("slots").asInt());
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/cli/TestConsole.java
@@ -0,0 +1,29 @@
+package io.coppershelf.cli;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+
+/** Runs commands and keeps what they write. */
+final class TestConsole {
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    int run(String... words) throws InterruptedException {
+        out.reset();
+        err.reset();
+        return CommandLine.run(words, new Console(printer(out), printer(err)));
+    }
+
+    String out() {
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    String err() {
+        return err.toString(StandardCharsets.UTF_8);
+    }
+
+    private static PrintStream printer(ByteArrayOutputStream bytes) {
+        return new PrintStream(bytes, true, StandardCharsets.UTF_8);
+    }
+}
