Hybrid clock stamps on messages between peers

Ruled out: a clock of the exchange's own; the time line's clock has to be the one that messages move on. Conclusion: events of different processes are ordered along the messages between them.

--- a/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipMessages.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipMessages.java
@@ -2,6 +2,7 @@
 
 import io.coppershelf.membership.Vm;
 import io.coppershelf.membership.VmFields;
+import io.coppershelf.peer.FunctionCodec;
 import io.coppershelf.peer.MessageFields;
 import io.coppershelf.peer.PeerMessage;
 import io.coppershelf.peer.PeerMessageCodec;
@@ -9,19 +10,19 @@
 
 /** The messages of membership and their codecs. */
 final class MembershipMessages {
-    static final PeerMessageCodec<Ping> PING = PeerMessageCodec.of(
+    static final PeerMessageCodec<Ping> PING = new FunctionCodec<>(
             2,
             Ping.class,
-            (packer, ping) -> {
+            (ping, packer) -> {
                 ping.sender().write(packer);
                 MessageFields.writeList(packer, ping.updates(), (p, update) -> update.write(p));
             },
             unpacker -> new Ping(MemberUpdate.read(unpacker), MessageFields.readList(unpacker, MemberUpdate::read)));
 
-    static final PeerMessageCodec<PingReply> PING_REPLY = PeerMessageCodec.of(
+    static final PeerMessageCodec<PingReply> PING_REPLY = new FunctionCodec<>(
             3,
             PingReply.class,
-            (packer, reply) -> {
+            (reply, packer) -> {
                 reply.answerer().write(packer);
                 MessageFields.writeList(packer, reply.updates(), (p, update) -> update.write(p));
                 packer.packLong(reply.digest());
@@ -31,28 +32,28 @@
                     MessageFields.readList(unpacker, MemberUpdate::read),
                     unpacker.unpackLong()));
 
-    static final PeerMessageCodec<ProbeRequest> PROBE_REQUEST = PeerMessageCodec.of(
+    static final PeerMessageCodec<ProbeRequest> PROBE_REQUEST = new FunctionCodec<>(
             4,
             ProbeRequest.class,
-            (packer, request) -> VmFields.write(packer, request.target()),
+            (request, packer) -> VmFields.write(packer, request.target()),
             unpacker -> new ProbeRequest(VmFields.read(unpacker)));
 
-    static final PeerMessageCodec<ProbeVerdict> PROBE_VERDICT = PeerMessageCodec.of(
+    static final PeerMessageCodec<ProbeVerdict> PROBE_VERDICT = new FunctionCodec<>(
             5,
             ProbeVerdict.class,
-            (packer, verdict) -> packer.packBoolean(verdict.isReached()),
+            (verdict, packer) -> packer.packBoolean(verdict.isReached()),
             unpacker -> new ProbeVerdict(unpacker.unpackBoolean()));
 
-    static final PeerMessageCodec<JoinRequest> JOIN_REQUEST = PeerMessageCodec.of(
+    static final PeerMessageCodec<JoinRequest> JOIN_REQUEST = new FunctionCodec<>(
             6,
             JoinRequest.class,
-            (packer, request) -> request.sender().write(packer),
+            (request, packer) -> request.sender().write(packer),
             unpacker -> new JoinRequest(MemberUpdate.read(unpacker)));
 
-    static final PeerMessageCodec<LeaveMessage> LEAVE = PeerMessageCodec.of(
+    static final PeerMessageCodec<LeaveMessage> LEAVE = new FunctionCodec<>(
             7,
             LeaveMessage.class,
-            (packer, leave) -> packer.packLong(leave.incarnation()),
+            (leave, packer) -> packer.packLong(leave.incarnation()),
             unpacker -> new LeaveMessage(unpacker.unpackLong()));
 
     private MembershipMessages() {}
--- a/coppershelf/src/main/java/io/coppershelf/peer/PeerMessageCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/peer/PeerMessageCodec.java
@@ -28,36 +28,4 @@
      * @throws IOException if the bytes are not such a message
      */
     T read(MessageUnpacker unpacker) throws IOException;
-
-    /**
-     * Returns a codec made of a writer and a reader.
-     *
-     * <pre>{@code
-     * PeerMessageCodec.of(7, Leave.class, (packer, leave) -> packer.packLong(leave.incarnation()), Leave::read)
-     * }</pre>
-     */
-    static <T extends PeerMessage> PeerMessageCodec<T> of(
-            int typeId, Class<T> type, MessageFields.Writer<T> writer, MessageFields.Reader<T> reader) {
-        return new PeerMessageCodec<>() {
-            @Override
-            public int typeId() {
-                return typeId;
-            }
-
-            @Override
-            public Class<T> type() {
-                return type;
-            }
-
-            @Override
-            public void write(T message, MessagePacker packer) throws IOException {
-                writer.write(packer, message);
-            }
-
-            @Override
-            public T read(MessageUnpacker unpacker) throws IOException {
-                return reader.read(unpacker);
-            }
-        };
-    }
 }
--- a/coppershelf/src/main/java/io/coppershelf/peer/PeerPart.java
+++ b/coppershelf/src/main/java/io/coppershelf/peer/PeerPart.java
@@ -4,6 +4,7 @@
 import io.coppershelf.kernel.Part;
 import io.coppershelf.kernel.ServiceRegistry;
 import io.coppershelf.membership.FleetView;
+import io.coppershelf.operator.HybridClock;
 import io.coppershelf.operator.OperatorDesk;
 import io.coppershelf.peer.internal.NioPeerExchange;
 import io.coppershelf.settings.Settings;
@@ -49,6 +50,7 @@
     @Override
     public void start(ServiceRegistry registry) {
         Settings settings = registry.require(Settings.NAME);
+        registry.find(HybridClock.NAME).ifPresent(exchange.orElseThrow()::useClock);
         int port = exchange.orElseThrow().listen(settings.host(), settings.peerPort());
         logger.atInfo().log("[peer] Listening on %s:%d.", settings.host(), port);
     }
--- a/coppershelf/src/main/java/io/coppershelf/peer/internal/NioPeerExchange.java
+++ b/coppershelf/src/main/java/io/coppershelf/peer/internal/NioPeerExchange.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.coppershelf.membership.FleetView;
 import io.coppershelf.membership.Vm;
+import io.coppershelf.operator.HybridClock;
 import io.coppershelf.peer.LinkFilter;
 import io.coppershelf.peer.MessageFields;
 import io.coppershelf.peer.PeerExchange;
@@ -41,6 +42,7 @@
     private final ConnectionPool pool;
     private final Receiver receiver;
     private final AtomicLong correlation = new AtomicLong();
+    private final PeerClock clock = new PeerClock();
     private Optional<ServerSocketChannel> server = Optional.empty();
 
     /**
@@ -56,11 +58,16 @@
         traffic = new TrafficThreads(trafficThreads);
         pool = new ConnectionPool(this::open, this::isReplaced);
         loop = new SelectorLoop(openSelector(), () -> pool.sweep(System.nanoTime()), pool::isBusy);
-        receiver = new Receiver(codecs, fleet, filter, metrics, traffic);
+        receiver = new Receiver(codecs, fleet, filter, metrics, traffic, clock);
         metrics.showConnections(registry, pool::size);
         codecs.add(Hello.CODEC, Optional.empty());
     }
 
+    /** Stamps messages with the clock from now on. */
+    public void useClock(HybridClock hybridClock) {
+        clock.use(hybridClock);
+    }
+
     /**
      * Listens on the address; connections are served from then on.
      *
@@ -104,7 +111,7 @@
 
     @Override
     public void send(Vm target, PeerMessage message) {
-        ByteBuffer frame = codecs.frame(message, 0, Envelope.Kind.ONE_WAY, 0);
+        ByteBuffer frame = codecs.frame(message, 0, Envelope.Kind.ONE_WAY, clock.stamp());
         long now = System.nanoTime();
         if (!isTooLong(frame) && filter.passes(self().id(), target.id())) {
             pool.connectionTo(target)
@@ -120,7 +127,7 @@
             return result.completeOnTimeout(new PeerReply.Lost(), timeout.toNanos(), TimeUnit.NANOSECONDS);
         }
         long id = correlation.incrementAndGet();
-        ByteBuffer frame = codecs.frame(message, id, Envelope.Kind.REQUEST, 0);
+        ByteBuffer frame = codecs.frame(message, id, Envelope.Kind.REQUEST, clock.stamp());
         if (!filter.passes(self().id(), target.id())) {
             return result.completeOnTimeout(new PeerReply.Lost(), timeout.toNanos(), TimeUnit.NANOSECONDS);
         }
@@ -156,7 +163,8 @@
     private Outbound helloTo(String id, long incarnation) {
         Hello hello = new Hello(Hello.VERSION, self(), id, incarnation);
         long now = System.nanoTime();
-        return Outbound.oneWay(codecs.frame(hello, 0, Envelope.Kind.ONE_WAY, 0), now, now + ONE_WAY_EXPIRY_NANOS);
+        return Outbound.oneWay(
+                codecs.frame(hello, 0, Envelope.Kind.ONE_WAY, clock.stamp()), now, now + ONE_WAY_EXPIRY_NANOS);
     }
 
     private boolean isReplaced(Vm vm) {
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/peer/internal/PeerClock.java
@@ -0,0 +1,21 @@
+package io.coppershelf.peer.internal;
+
+import io.coppershelf.operator.HybridClock;
+import java.util.Optional;
+
+/** The hybrid logical clock of the process as far as messages carry it; the stamp is 0 until there is one. */
+final class PeerClock {
+    private volatile Optional<HybridClock> clock = Optional.empty();
+
+    void use(HybridClock hybridClock) {
+        clock = Optional.of(hybridClock);
+    }
+
+    long stamp() {
+        return clock.map(HybridClock::stamp).orElse(0L);
+    }
+
+    void observe(long stamp) {
+        clock.filter(present -> stamp != 0).ifPresent(present -> present.observe(stamp));
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/peer/internal/Receiver.java
+++ b/coppershelf/src/main/java/io/coppershelf/peer/internal/Receiver.java
@@ -26,14 +26,21 @@
     private final LinkFilter filter;
     private final PeerMetrics metrics;
     private final TrafficThreads traffic;
+    private final PeerClock clock;
 
     Receiver(
-            CodecTable codecs, FleetView.Source fleet, LinkFilter filter, PeerMetrics metrics, TrafficThreads traffic) {
+            CodecTable codecs,
+            FleetView.Source fleet,
+            LinkFilter filter,
+            PeerMetrics metrics,
+            TrafficThreads traffic,
+            PeerClock clock) {
         this.codecs = codecs;
         this.fleet = fleet;
         this.filter = filter;
         this.metrics = metrics;
         this.traffic = traffic;
+        this.clock = clock;
     }
 
     /** Returns whether the view in force contains this incarnation of the VM, or the VM with none known yet. */
@@ -118,6 +125,7 @@
                 drop(connection, DropReason.UNKNOWN_TYPE, "type " + envelope.typeId());
                 return;
             }
+            clock.observe(envelope.stamp());
             if (envelope.kind() == Envelope.Kind.REPLY) {
                 takeReply(connection, envelope, entry.get(), unpacker);
                 return;
@@ -176,7 +184,7 @@
         if (!filter.passes(self, connection.remote().orElseThrow().id())) {
             return;
         }
-        ByteBuffer frame = codecs.frame(reply, correlationId, Envelope.Kind.REPLY, 0);
+        ByteBuffer frame = codecs.frame(reply, correlationId, Envelope.Kind.REPLY, clock.stamp());
         long now = System.nanoTime();
         connection.offer(Outbound.oneWay(frame, now, now + REPLY_EXPIRY_NANOS));
     }
