Spread of tickets over the fleet

Cause: only few VMs may watch the platform, yet each ticket has to come into force everywhere within seconds and never revert, also while the platform is away, stale or restored. Ruled out: a watch by every VM, too many calls at the two-year size; pushing documents without being asked, which sends each several times. Change: two watchers a data centre, others stand in at a bounded rate when nobody reaches the platform; announcements with feedback, pulls from one announcer at a time, repair by digests of groups, buckets and objects; a VM that starts is ready only after it has taken over the state of a serving peer and tried the platform, or with the platform alone when every peer says that it does not serve. Conclusion: TicketPart offers Configuration.Source.

--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/ticket/TicketPart.java
@@ -0,0 +1,54 @@
+package io.coppershelf.ticket;
+
+import io.coppershelf.kernel.ControlThread;
+import io.coppershelf.kernel.Part;
+import io.coppershelf.kernel.ServiceRegistry;
+import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.operator.OperatorDesk;
+import io.coppershelf.operator.Timeline;
+import io.coppershelf.peer.PeerExchange;
+import io.coppershelf.platform.Platform;
+import io.coppershelf.ticket.internal.spread.ConfigurationHolder;
+import io.coppershelf.ticket.internal.spread.SpreadDriver;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import java.time.Duration;
+
+/** The part of the daemon that brings tickets into force, from the platform and from the peers. */
+public final class TicketPart implements Part {
+    private final ConfigurationHolder holder = new ConfigurationHolder();
+
+    @Override
+    public String name() {
+        return "ticket";
+    }
+
+    @Override
+    public void register(ServiceRegistry registry) {
+        registry.register(Configuration.Source.NAME, holder);
+    }
+
+    @Override
+    public void start(ServiceRegistry registry) {
+        OperatorDesk desk = registry.require(OperatorDesk.NAME);
+        SpreadDriver driver = new SpreadDriver(
+                holder,
+                registry.require(ControlThread.NAME),
+                registry.require(TimeSource.NAME),
+                registry.require(FleetView.Source.NAME),
+                registry.require(PeerExchange.NAME),
+                registry.find(Platform.NAME),
+                registry.require(Timeline.NAME),
+                desk.metrics());
+        desk.addReadiness("tickets", driver::isReady);
+        GaugeWithCallback.builder()
+                .name("coppershelf_ticket_number")
+                .help("Number of the highest ticket in force.")
+                .callback(callback -> callback.call((double) holder.current().ticketNumber()))
+                .register(desk.metrics());
+        driver.start();
+    }
+
+    @Override
+    public void stop(Duration limit) {}
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/ticket/internal/spread/BucketTree.java
@@ -0,0 +1,46 @@
+package io.coppershelf.ticket.internal.spread;
+
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import io.coppershelf.ticket.ConfigurationStore;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Digests of the configuration's buckets, put together in groups so that a difference is found in two steps. */
+final class BucketTree {
+    static final int GROUPS = 32;
+    private static final int BUCKETS_PER_GROUP = ConfigurationStore.BUCKETS / GROUPS;
+
+    private BucketTree() {}
+
+    /** Returns the digest of each group. */
+    static List<Long> groupDigests(long[] buckets) {
+        List<Long> digests = new ArrayList<>();
+        for (int group = 0; group < GROUPS; group++) {
+            Hasher hasher = Hashing.murmur3_128().newHasher();
+            bucketsOf(group).forEach(bucket -> hasher.putLong(buckets[bucket]));
+            digests.add(hasher.hash().asLong());
+        }
+        return digests;
+    }
+
+    /** Returns the groups whose digests differ. */
+    static List<Integer> differing(List<Long> mine, List<Long> theirs) {
+        List<Integer> groups = new ArrayList<>();
+        for (int group = 0; group < Math.min(mine.size(), theirs.size()); group++) {
+            if (!mine.get(group).equals(theirs.get(group))) {
+                groups.add(group);
+            }
+        }
+        return groups;
+    }
+
+    /** Returns the buckets of a group. */
+    static List<Integer> bucketsOf(int group) {
+        List<Integer> buckets = new ArrayList<>();
+        for (int i = 0; i < BUCKETS_PER_GROUP; i++) {
+            buckets.add(group * BUCKETS_PER_GROUP + i);
+        }
+        return buckets;
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/ticket/internal/spread/TicketSpread.java
@@ -0,0 +1,338 @@
+package io.coppershelf.ticket.internal.spread;
+
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.membership.Vm;
+import io.coppershelf.ticket.ApplyResult;
+import io.coppershelf.ticket.Configuration;
+import io.coppershelf.ticket.ConfigurationStore;
+import io.coppershelf.ticket.ObjectVersion;
+import io.coppershelf.ticket.Ticket;
+import io.coppershelf.ticket.TicketDigest;
+import io.coppershelf.ticket.internal.spread.SpreadAction.AlarmConflict;
+import io.coppershelf.ticket.internal.spread.SpreadAction.AskRepair;
+import io.coppershelf.ticket.internal.spread.SpreadAction.Publish;
+import io.coppershelf.ticket.internal.spread.SpreadAction.Pull;
+import io.coppershelf.ticket.internal.spread.SpreadAction.Ready;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.AnnounceAnswered;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.AnnounceFailed;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.Announced;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.BucketsAnswered;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.FleetChanged;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.PlatformFailed;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.PlatformRead;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.PullFailed;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.Pulled;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.RepairAnswered;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.RepairAsked;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.RepairFailed;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.Summary;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.Tick;
+import io.coppershelf.ticket.internal.spread.SpreadEvent.VersionsAnswered;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The decisions on the spread of tickets: an event and the time in, actions out. Not safe for use by several threads.
+ *
+ * <p>Each object keeps the version of the highest ticket number seen, so neither order nor repeats nor a stale source
+ * can revert it.
+ */
+final class TicketSpread {
+    static final long TICK_MILLIS = 100;
+    private static final int WATCHERS_PER_DATA_CENTRE = 2;
+    private static final int PEERS_ASKED_AT_START = 8;
+    private static final long SHORTEST_REPAIR_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long REPAIR_NANOS_PER_VM = TimeUnit.MICROSECONDS.toNanos(1350);
+    private static final long START_REPAIR_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long SESSION_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    private final ConfigurationStore store = new ConfigurationStore();
+    private final RecentTickets recent = new RecentTickets();
+    private final StartGate gate = new StartGate();
+    private final PullList pulls = new PullList();
+    private final Random random;
+    private final RumorList rumors;
+    private final PlatformWatch watch;
+    private final long joinUntilNanos;
+    private FleetView view;
+    private Optional<RepairSession> session = Optional.empty();
+    private Optional<Vm> repairPeer = Optional.empty();
+    private long sessionBeganNanos;
+    private long nextRepairNanos;
+
+    /**
+     * Creates the decisions of a VM without configuration.
+     *
+     * @param joinNanos the time that peers may take to become known; until then an empty fleet view proves nothing
+     * @param seed the seed of all random choices
+     */
+    TicketSpread(FleetView view, long joinNanos, long seed, long nowNanos) {
+        this.view = view;
+        random = new Random(seed);
+        rumors = new RumorList(random);
+        watch = new PlatformWatch(random, nowNanos);
+        joinUntilNanos = nowNanos + joinNanos;
+        nextRepairNanos = nowNanos;
+    }
+
+    /** Returns the configuration in force. */
+    Configuration configuration() {
+        return store.snapshot();
+    }
+
+    /** Returns whether this VM may serve. */
+    boolean isReady() {
+        return gate.isReady();
+    }
+
+    /** Returns whether this VM has seen the ticket. */
+    boolean knows(TicketKey key) {
+        return recent.contains(key);
+    }
+
+    /** Returns the JSON document of a ticket for a peer that pulls it. */
+    Optional<byte[]> document(TicketKey key) {
+        return recent.document(key);
+    }
+
+    /** Returns what this VM says of its configuration. */
+    Summary summary(long nowNanos) {
+        return new Summary(configuration().digest(), gate.isReady(), watch.ageMillis(nowNanos));
+    }
+
+    /** Returns the digest of each bucket of the configuration. */
+    long[] bucketDigests() {
+        return store.bucketDigests();
+    }
+
+    /** Returns the versions in force of one bucket. */
+    List<ObjectVersion> versions(int bucket) {
+        return store.versions(bucket);
+    }
+
+    /** Takes in one event. */
+    List<SpreadAction> on(SpreadEvent event, long nowNanos) {
+        List<SpreadAction> actions = new ArrayList<>();
+        if (event instanceof Tick) {
+            tick(nowNanos, actions);
+        } else if (event instanceof FleetChanged changed) {
+            view = changed.view();
+        } else if (event instanceof PlatformRead read) {
+            platformRead(read, nowNanos, actions);
+        } else if (event instanceof PlatformFailed) {
+            watch.failed(nowNanos);
+        } else {
+            peerEvent(event, nowNanos, actions);
+        }
+        gate.open(view, watch, nowNanos - joinUntilNanos < 0).ifPresent(reason -> actions.add(new Ready(reason)));
+        return actions;
+    }
+
+    private void peerEvent(SpreadEvent event, long nowNanos, List<SpreadAction> actions) {
+        if (event instanceof Announced announced) {
+            announced(announced, actions);
+        } else if (event instanceof AnnounceAnswered answered) {
+            rumors.answered(answered.key(), answered.wasKnown());
+        } else if (event instanceof AnnounceFailed failed) {
+            rumors.failed(failed.target(), failed.key());
+        } else if (event instanceof Pulled pulled) {
+            pulled(pulled, nowNanos, actions);
+        } else if (event instanceof PullFailed failed) {
+            pullFromNext(failed.key(), actions);
+        } else if (event instanceof RepairAsked asked) {
+            repairAsked(asked, nowNanos);
+        } else if (event instanceof RepairAnswered answered) {
+            repairAnswered(answered, nowNanos, actions);
+        } else if (event instanceof BucketsAnswered answered) {
+            bucketsAnswered(answered, actions);
+        } else if (event instanceof VersionsAnswered answered) {
+            versionsAnswered(answered, actions);
+        } else if (event instanceof RepairFailed failed) {
+            session = session.filter(present -> !present.isWith(failed.target()));
+        }
+    }
+
+    private void tick(long nowNanos, List<SpreadAction> actions) {
+        watch.next(isWatcher(), view.vms().size(), repairNanos(), nowNanos).ifPresent(actions::add);
+        actions.addAll(rumors.announcements(view, nowNanos));
+        if (nowNanos - nextRepairNanos >= 0) {
+            long interval = gate.isReady() ? repairNanos() : START_REPAIR_NANOS;
+            nextRepairNanos = nowNanos + interval / 2 + random.nextLong(interval);
+            askRepair(actions);
+        }
+    }
+
+    private boolean isWatcher() {
+        Vm self = view.self();
+        String dataCentre = self.dataCentre();
+        return view.ranked("ticket-watch/" + dataCentre, dataCentre, WATCHERS_PER_DATA_CENTRE)
+                .contains(self);
+    }
+
+    private long repairNanos() {
+        return Math.max(SHORTEST_REPAIR_NANOS, REPAIR_NANOS_PER_VM * view.vms().size());
+    }
+
+    private void askRepair(List<SpreadAction> actions) {
+        if (repairPeer.isPresent()) {
+            actions.add(new AskRepair(repairPeer.get()));
+            repairPeer = Optional.empty();
+            return;
+        }
+        List<Vm> peers = new ArrayList<>(view.vms());
+        peers.remove(view.self());
+        Collections.shuffle(peers, random);
+        peers.sort(Comparator.comparing(peer -> gate.hasHeard(peer.id())));
+        peers.stream()
+                .limit(gate.isReady() ? 1 : PEERS_ASKED_AT_START)
+                .forEach(peer -> actions.add(new AskRepair(peer)));
+    }
+
+    private void platformRead(PlatformRead read, long nowNanos, List<SpreadAction> actions) {
+        watch.answered(read.position(), read.position() != read.askedPosition(), nowNanos);
+        SortedSet<Long> numbers = new TreeSet<>();
+        for (Ticket ticket : read.tickets()) {
+            take(ticket, Optional.empty(), nowNanos, numbers, actions);
+        }
+        publish(numbers, nowNanos, actions);
+    }
+
+    private void announced(Announced event, List<SpreadAction> actions) {
+        rumors.heardFrom(event.sender(), event.key());
+        if (!recent.contains(event.key()) && pulls.begin(event.key(), event.sender())) {
+            pullFrom(event.sender(), event.key(), actions);
+        }
+    }
+
+    private void pullFrom(String peer, TicketKey key, List<SpreadAction> actions) {
+        Optional<Vm> source = view.vm(peer);
+        if (source.isEmpty()) {
+            pullFromNext(key, actions);
+            return;
+        }
+        actions.add(new Pull(source.get(), key));
+    }
+
+    private void pullFromNext(TicketKey key, List<SpreadAction> actions) {
+        pulls.next(key).ifPresent(peer -> pullFrom(peer, key, actions));
+    }
+
+    private void pulled(Pulled event, long nowNanos, List<SpreadAction> actions) {
+        SortedSet<Long> numbers = new TreeSet<>();
+        take(event.ticket(), Optional.of(event.sender()), nowNanos, numbers, actions);
+        publish(numbers, nowNanos, actions);
+    }
+
+    /** Applies a ticket and announces it if it is new; at the start repair between the VMs does that. */
+    private void take(
+            Ticket ticket,
+            Optional<String> source,
+            long nowNanos,
+            SortedSet<Long> numbers,
+            List<SpreadAction> actions) {
+        TicketKey key = new TicketKey(ticket.number(), TicketDigest.of(ticket));
+        pulls.end(key);
+        if (!recent.add(key, ticket)) {
+            return;
+        }
+        ApplyResult result = store.apply(ticket);
+        if (result.conflict()) {
+            actions.add(new AlarmConflict(ticket.number()));
+        }
+        if (!result.changed().isEmpty()) {
+            numbers.add(ticket.number());
+        }
+        if (gate.isReady() && !result.isNothingNew()) {
+            rumors.begin(key, source, nowNanos);
+        }
+    }
+
+    private void publish(SortedSet<Long> numbers, long nowNanos, List<SpreadAction> actions) {
+        if (!numbers.isEmpty()) {
+            actions.add(new Publish(numbers));
+            actions.addAll(rumors.announcements(view, nowNanos));
+        }
+    }
+
+    private void repairAsked(RepairAsked event, long nowNanos) {
+        watch.heardAge(event.summary().platformAgeMillis(), nowNanos);
+        gate.heard(event.sender(), event.summary().isReady());
+        boolean isBehind = event.summary().isReady()
+                && event.summary().digest() != configuration().digest();
+        if (isBehind) {
+            repairPeer = view.vm(event.sender());
+            nextRepairNanos = Math.min(nextRepairNanos, nowNanos + START_REPAIR_NANOS);
+        }
+    }
+
+    private void repairAnswered(RepairAnswered event, long nowNanos, List<SpreadAction> actions) {
+        Summary summary = event.summary();
+        watch.heardAge(summary.platformAgeMillis(), nowNanos);
+        gate.heard(event.sender(), summary.isReady());
+        if (summary.digest() == configuration().digest()) {
+            finish(summary.isReady());
+            return;
+        }
+        Optional<Vm> peer = view.vm(event.sender());
+        boolean isBusy = session.isPresent() && nowNanos - sessionBeganNanos < SESSION_LIMIT_NANOS;
+        boolean isOnItsWay = gate.isReady() && !pulls.isEmpty();
+        if (peer.isEmpty() || isBusy || isOnItsWay) {
+            return;
+        }
+        RepairSession begun = new RepairSession(peer.get(), summary.isReady());
+        List<Long> mine = BucketTree.groupDigests(store.bucketDigests());
+        begun.start(BucketTree.differing(mine, event.groupDigests())).ifPresent(question -> {
+            session = Optional.of(begun);
+            sessionBeganNanos = nowNanos;
+            actions.add(question);
+        });
+    }
+
+    private void bucketsAnswered(BucketsAnswered event, List<SpreadAction> actions) {
+        Optional<RepairSession> present = session.filter(held -> held.isWith(event.sender()));
+        present.ifPresent(held -> proceed(held, held.compare(store.bucketDigests(), event.bucketDigests()), actions));
+    }
+
+    private void versionsAnswered(VersionsAnswered event, List<SpreadAction> actions) {
+        Optional<RepairSession> present = session.filter(held -> held.isWith(event.sender()));
+        if (present.isEmpty()) {
+            return;
+        }
+        SortedSet<Long> numbers = new TreeSet<>();
+        for (ObjectVersion version : event.versions()) {
+            ApplyResult result = store.apply(version);
+            if (result.conflict()) {
+                actions.add(new AlarmConflict(version.ticket()));
+            }
+            if (!result.changed().isEmpty()) {
+                numbers.add(version.ticket());
+            }
+        }
+        if (!numbers.isEmpty()) {
+            actions.add(new Publish(numbers));
+        }
+        proceed(present.get(), present.get().next(), actions);
+    }
+
+    private void proceed(RepairSession held, Optional<SpreadAction.AskVersions> question, List<SpreadAction> actions) {
+        if (question.isPresent()) {
+            actions.add(question.get());
+            return;
+        }
+        session = Optional.empty();
+        finish(held.isServing());
+    }
+
+    private void finish(boolean isServing) {
+        if (isServing) {
+            gate.synchronizedWithServingPeer();
+        }
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/ticket/internal/spread/FakeSpreadFleet.java
@@ -0,0 +1,250 @@
+package io.coppershelf.ticket.internal.spread;
+
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.membership.Vm;
+import io.coppershelf.membership.internal.FleetSnapshot;
+import io.coppershelf.ticket.ObjectVersion;
+import io.coppershelf.ticket.Ticket;
+import io.coppershelf.ticket.TicketDocument;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BiPredicate;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+/** Ticket spread of many VMs in virtual time, joined by links that can lose and cut, with a platform that can fail. */
+final class FakeSpreadFleet {
+    private static final long MILLI = 1_000_000L;
+    private static final long TIMEOUT_MILLIS = 1_000;
+
+    final Map<String, Node> nodes = new TreeMap<>();
+    final List<Ticket> published = new ArrayList<>();
+    final Set<Long> alarms = new TreeSet<>();
+    private final PriorityQueue<Due> queue = new PriorityQueue<>();
+    private final Random random;
+    private long nowNanos;
+    private long sequence;
+    BiPredicate<String, String> passes = (from, to) -> true;
+    Predicate<String> reachesPlatform = id -> true;
+    /** How many of the published tickets the platform shows. */
+    int shown = Integer.MAX_VALUE;
+
+    double loss;
+    long platformReads;
+    long pulls;
+
+    FakeSpreadFleet(int size, long seed) {
+        random = new Random(seed);
+        for (int i = 0; i < size; i++) {
+            start("vm-" + i);
+        }
+    }
+
+    void start(String id) {
+        int number = Integer.parseInt(id.substring(3));
+        nodes.put(id, new Node(new Vm(id, nowNanos, "dc-" + number % 4, "h", 1, 1, false)));
+        List<Vm> vms = nodes.values().stream().map(node -> node.vm).toList();
+        nodes.values().forEach(node -> node.see(vms));
+        after(random.nextInt(100), () -> nodes.get(id).tick());
+    }
+
+    void stop(String id) {
+        nodes.remove(id).isUp = false;
+        List<Vm> vms = nodes.values().stream().map(node -> node.vm).toList();
+        nodes.values().forEach(node -> node.see(vms));
+    }
+
+    boolean runUntil(Predicate<TicketSpread> condition, long limitMillis) {
+        long end = nowNanos + limitMillis * MILLI;
+        while (!nodes.values().stream().allMatch(node -> condition.test(node.spread))) {
+            if (nowNanos >= end) {
+                return false;
+            }
+            run(10);
+        }
+        return true;
+    }
+
+    void run(long millis) {
+        long end = nowNanos + millis * MILLI;
+        while (!queue.isEmpty() && queue.peek().atNanos <= end) {
+            Due due = queue.poll();
+            nowNanos = Math.max(nowNanos, due.atNanos);
+            due.task.run();
+        }
+        nowNanos = end;
+    }
+
+    private void after(long millis, Runnable task) {
+        queue.add(new Due(nowNanos + millis * MILLI, sequence++, task));
+    }
+
+    private List<Ticket> visible() {
+        return List.copyOf(published.subList(0, Math.min(shown, published.size())));
+    }
+
+    private record Due(long atNanos, long sequence, Runnable task) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Long.compare(atNanos, other.atNanos);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+        }
+    }
+
+    /** One VM, with the part of its driver. */
+    final class Node {
+        private final Vm vm;
+        final TicketSpread spread;
+        private FleetView view;
+        private boolean isUp = true;
+
+        Node(Vm vm) {
+            this.vm = vm;
+            view = new FleetSnapshot(vm, List.of(), Set.of());
+            spread = new TicketSpread(view, 3_000 * MILLI, random.nextLong(), nowNanos);
+        }
+
+        FleetView view() {
+            return view;
+        }
+
+        void see(List<Vm> vms) {
+            view = new FleetSnapshot(vm, vms, Set.of());
+            on(new SpreadEvent.FleetChanged(view));
+        }
+
+        void on(SpreadEvent event) {
+            if (isUp) {
+                long before = spread.configuration().ticketNumber();
+                spread.on(event, nowNanos).forEach(this::perform);
+                if (spread.configuration().ticketNumber() < before) {
+                    throw new AssertionError(vm.id() + " reverted to a lower ticket");
+                }
+            }
+        }
+
+        private void tick() {
+            if (isUp) {
+                on(new SpreadEvent.Tick());
+                after(TicketSpread.TICK_MILLIS, this::tick);
+            }
+        }
+
+        private void perform(SpreadAction action) {
+            if (action instanceof SpreadAction.ReadPlatform read) {
+                platformReads++;
+                answerWatch(read, nowNanos + read.watchTime().toNanos());
+            } else if (action instanceof SpreadAction.Announce announce) {
+                ask(
+                        announce.target(),
+                        peer -> {
+                            boolean wasKnown = peer.spread.knows(announce.key());
+                            peer.on(new SpreadEvent.Announced(vm.id(), announce.key()));
+                            return new SpreadEvent.AnnounceAnswered(
+                                    announce.target().id(), announce.key(), wasKnown);
+                        },
+                        new SpreadEvent.AnnounceFailed(announce.target().id(), announce.key()));
+            } else if (action instanceof SpreadAction.Pull pull) {
+                pulls++;
+                SpreadEvent failed = new SpreadEvent.PullFailed(pull.key());
+                ask(
+                        pull.target(),
+                        peer -> peer.spread
+                                .document(pull.key())
+                                .map(FakeSpreadFleet::parse)
+                                .<SpreadEvent>map(ticket -> new SpreadEvent.Pulled(peer.vm.id(), ticket))
+                                .orElse(failed),
+                        failed);
+            } else if (action instanceof SpreadAction.AskRepair ask) {
+                SpreadEvent.Summary summary = spread.summary(nowNanos);
+                ask(
+                        ask.target(),
+                        peer -> {
+                            SpreadEvent.RepairAnswered answer = new SpreadEvent.RepairAnswered(
+                                    peer.vm.id(),
+                                    peer.spread.summary(nowNanos),
+                                    BucketTree.groupDigests(peer.spread.bucketDigests()));
+                            peer.on(new SpreadEvent.RepairAsked(vm.id(), summary));
+                            return answer;
+                        },
+                        new SpreadEvent.RepairFailed(ask.target().id()));
+            } else if (action instanceof SpreadAction.AskBuckets ask) {
+                ask(
+                        ask.target(),
+                        peer -> peer.buckets(ask.groups()),
+                        new SpreadEvent.RepairFailed(ask.target().id()));
+            } else if (action instanceof SpreadAction.AskVersions ask) {
+                ask(
+                        ask.target(),
+                        peer -> peer.versions(ask.buckets()),
+                        new SpreadEvent.RepairFailed(ask.target().id()));
+            } else if (action instanceof SpreadAction.AlarmConflict conflict) {
+                alarms.add(conflict.number());
+            }
+        }
+
+        private SpreadEvent buckets(List<Integer> groups) {
+            Map<Integer, Long> digests = new TreeMap<>();
+            groups.forEach(group ->
+                    BucketTree.bucketsOf(group).forEach(bucket -> digests.put(bucket, spread.bucketDigests()[bucket])));
+            return new SpreadEvent.BucketsAnswered(vm.id(), digests);
+        }
+
+        private SpreadEvent versions(List<Integer> buckets) {
+            List<ObjectVersion> versions = new ArrayList<>();
+            TicketExtracts.of(buckets, spread::versions)
+                    .forEach(extract -> versions.addAll(TicketExtracts.versions(extract)));
+            return new SpreadEvent.VersionsAnswered(vm.id(), versions);
+        }
+
+        private void answerWatch(SpreadAction.ReadPlatform read, long untilNanos) {
+            if (!reachesPlatform.test(vm.id())) {
+                after(TIMEOUT_MILLIS, () -> on(new SpreadEvent.PlatformFailed()));
+                return;
+            }
+            List<Ticket> visible = visible();
+            if (visible.size() <= read.position() && nowNanos < untilNanos) {
+                after(10, () -> answerWatch(read, untilNanos));
+                return;
+            }
+            List<Ticket> news = visible.subList((int) Math.min(read.position(), visible.size()), visible.size());
+            after(1, () -> on(new SpreadEvent.PlatformRead(read.position(), visible.size(), news)));
+        }
+
+        private void ask(Vm target, Function<Node, SpreadEvent> handler, SpreadEvent failure) {
+            boolean[] isEnded = new boolean[1];
+            deliver(vm.id(), target.id(), () -> {
+                Optional<Node> peer = Optional.ofNullable(nodes.get(target.id()));
+                peer.filter(node -> node.isUp)
+                        .map(handler)
+                        .ifPresent(answer -> deliver(target.id(), vm.id(), () -> end(isEnded, answer)));
+            });
+            after(TIMEOUT_MILLIS, () -> end(isEnded, failure));
+        }
+
+        private void end(boolean[] isEnded, SpreadEvent event) {
+            if (!isEnded[0]) {
+                isEnded[0] = true;
+                on(event);
+            }
+        }
+    }
+
+    private void deliver(String from, String to, Runnable task) {
+        if (passes.test(from, to) && random.nextDouble() >= loss) {
+            after(1 + random.nextInt(3), task);
+        }
+    }
+
+    static Ticket parse(byte[] document) {
+        return TicketDocument.parse(new String(document, StandardCharsets.UTF_8));
+    }
+}
