Claims: what a new holder may accept; tests of the state machines

Cause: a peer that had itself restarted counted as the word of its former start in the pull of a VM that starts, so that claims lost with it went unnoticed (found while the specification of at-most-once was written). Ruled out: taking every answer to a pull at its word. Change: a page of a pull tells whether its sender knows the attempts made before its own start; only then it stands for a lost VM.

--- a/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimCodecs.java
+++ b/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimCodecs.java
@@ -89,13 +89,14 @@
                 ClaimPage.class,
                 (m, out) -> {
                     writeList(m.attempts(), ClaimCodecs::writeAttempt, out);
-                    out.packString(m.last()).packBoolean(m.complete());
+                    out.packString(m.last()).packBoolean(m.complete()).packBoolean(m.knowing());
                     writeList(m.lost(), (id, packer) -> packer.packString(id), out);
                 },
                 in -> new ClaimPage(
                         readList(ClaimCodecs::readAttempt, in),
                         in.unpackString(),
                         in.unpackBoolean(),
+                        in.unpackBoolean(),
                         readList(MessageUnpacker::unpackString, in)));
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimHistory.java
+++ b/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimHistory.java
@@ -21,7 +21,8 @@
     private final String self;
     private final long startNanos;
     private final Map<String, Vm> listed = new HashMap<>();
-    private final Set<String> pulled = new HashSet<>();
+    private final Set<String> answered = new HashSet<>();
+    private final Set<String> answeredKnowing = new HashSet<>();
     private final Map<String, Long> lostAt = new HashMap<>();
     private final Set<String> lostBeforeStart = new HashSet<>();
     private final Deque<FormerView> formerViews = new ArrayDeque<>();
@@ -49,10 +50,18 @@
         noteDamage(nowNanos);
     }
 
-    /** Takes in that a peer has answered the whole pull. */
-    public void onPulled(String peer, List<String> lost) {
-        pulled.add(peer);
+    /**
+     * Takes in that a peer has answered the whole pull.
+     *
+     * @param knowing whether the peer itself knew the attempts made before its start
+     * @param lost the VMs that the peer saw leave the list without a handover
+     */
+    public void onPulled(String peer, boolean knowing, List<String> lost) {
+        answered.add(peer);
         lostBeforeStart.addAll(lost);
+        if (knowing) {
+            answeredKnowing.add(peer);
+        }
     }
 
     /** Returns the peers that are still to be pulled from. */
@@ -64,7 +73,7 @@
         return listed.values().stream()
                 .filter(this::isElder)
                 .map(Vm::id)
-                .filter(id -> !pulled.contains(id))
+                .filter(id -> !answered.contains(id) || (isLost(id) && !answeredKnowing.contains(id)))
                 .sorted()
                 .toList();
     }
@@ -100,15 +109,24 @@
                 .toList();
     }
 
-    /** Returns the number of VMs that may hold claims of which this one has not heard. */
+    /**
+     * Returns the number of VMs that may hold claims of which this one has not heard. The new start of a lost VM stands
+     * for it only once it knows itself what the lost one knew.
+     */
     private int unaccounted() {
-        Set<String> unaccounted = new HashSet<>(lostBeforeStart);
-        unaccounted.addAll(lostAt.keySet());
+        Set<String> unaccounted = new HashSet<>();
         listed.values().stream().filter(this::isElder).map(Vm::id).forEach(unaccounted::add);
-        unaccounted.removeAll(pulled);
+        unaccounted.removeAll(answered);
+        unaccounted.addAll(lostBeforeStart);
+        unaccounted.addAll(lostAt.keySet());
+        unaccounted.removeAll(answeredKnowing);
         return unaccounted.size();
     }
 
+    private boolean isLost(String id) {
+        return lostBeforeStart.contains(id) || lostAt.containsKey(id);
+    }
+
     private boolean isElder(Vm vm) {
         long latest = current.self().incarnation() + ClaimLimits.INCARNATION_SLACK.toMillis();
         return !vm.id().equals(self) && vm.incarnation() <= latest;
--- a/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimTransfer.java
+++ b/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimTransfer.java
@@ -128,7 +128,7 @@
             pull(id, page.last());
             return;
         }
-        holder.onPulled(id, page.lost());
+        holder.onPulled(id, page.knowing(), page.lost());
         pulling.remove(id);
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/claim/internal/HolderState.java
+++ b/coppershelf/src/main/java/io/coppershelf/claim/internal/HolderState.java
@@ -54,7 +54,8 @@
     /** Returns the next page of a transfer. */
     public synchronized ClaimPage page(String after, Predicate<String> wanted, long nowNanos) {
         ClaimTable.Page page = table.page(after, wanted, nowNanos);
-        return new ClaimPage(page.attempts(), page.last(), page.complete(), history.lost(nowNanos));
+        return new ClaimPage(
+                page.attempts(), page.last(), page.complete(), history.isComplete(nowNanos), history.lost(nowNanos));
     }
 
     /** Takes over a view of the fleet. */
@@ -63,8 +64,8 @@
     }
 
     /** Takes in that a peer has answered the whole pull. */
-    public synchronized void onPulled(String peer, List<String> lost) {
-        history.onPulled(peer, lost);
+    public synchronized void onPulled(String peer, boolean knowing, List<String> lost) {
+        history.onPulled(peer, knowing, lost);
     }
 
     /** Returns the peers that are still to be pulled from. */
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/claim/internal/ClaimHistoryTest.java
@@ -0,0 +1,125 @@
+package io.coppershelf.claim.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.coppershelf.floor.internal.FakeFleetView;
+import io.coppershelf.membership.Vm;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** A holder accepts keys only if it can know all attempts of the window. */
+class ClaimHistoryTest {
+    private static final long SETTLED = ClaimLimits.SETTLING_TIME.toNanos();
+    private static final long WINDOW = ClaimLimits.WINDOW.toNanos();
+    private static final Vm SELF = FakeFleetView.vm("self", 100);
+
+    private final List<Vm> list = new ArrayList<>(List.of(SELF));
+
+    private FakeFleetView view() {
+        return new FakeFleetView(SELF, List.copyOf(list), Set.of());
+    }
+
+    private ClaimHistory startAmong(int peers) {
+        IntStream.range(0, peers).mapToObj(i -> FakeFleetView.vm("vm" + i, 50)).forEach(list::add);
+        return new ClaimHistory(view(), 0);
+    }
+
+    private static void pull(ClaimHistory history, int peers, boolean knowing, List<String> lost) {
+        IntStream.range(0, peers).forEach(i -> history.onPulled("vm" + i, knowing, lost));
+    }
+
+    @Test
+    void isCompleteWhenAllButThreePeersHaveAnswered() {
+        ClaimHistory history = startAmong(9);
+        pull(history, 5, true, List.of());
+        assertThat(history.isComplete(SETTLED)).isFalse();
+        assertThat(history.missing(SETTLED)).containsExactly("vm5", "vm6", "vm7", "vm8");
+        pull(history, 6, true, List.of());
+        assertThat(history.isComplete(SETTLED - 1)).isFalse();
+        assertThat(history.isComplete(SETTLED)).isTrue();
+    }
+
+    @Test
+    void waitsOutTheWindowWhenMoreThanThreeVmsWereLost() {
+        ClaimHistory history = startAmong(9);
+        pull(history, 9, true, List.of("x", "y", "z", "self"));
+        assertThat(history.isComplete(WINDOW - 1)).isFalse();
+        assertThat(history.isComplete(WINDOW)).isTrue();
+    }
+
+    @Test
+    void newStartOfALostVmStandsForItOnlyOnceItKnows() {
+        ClaimHistory history = startAmong(6);
+        List<String> lost = List.of("vm0", "vm1", "vm2", "self");
+        pull(history, 3, false, List.of());
+        IntStream.range(3, 6).forEach(i -> history.onPulled("vm" + i, true, lost));
+        assertThat(history.isComplete(SETTLED)).isFalse();
+        assertThat(history.missing(SETTLED)).containsExactly("vm0", "vm1", "vm2");
+        history.onPulled("vm1", true, List.of());
+        assertThat(history.isComplete(SETTLED)).isTrue();
+    }
+
+    @Test
+    void firstStartOfAWholeFleetIsCompleteOnceAllHaveAnswered() {
+        ClaimHistory history = startAmong(35);
+        pull(history, 35, false, List.of());
+        assertThat(history.isComplete(SETTLED)).isTrue();
+    }
+
+    @Test
+    void learnsOfElderVmsLater() {
+        ClaimHistory history = startAmong(0);
+        assertThat(history.isComplete(SETTLED)).isTrue();
+        IntStream.range(0, 4).mapToObj(i -> FakeFleetView.vm("vm" + i, 50)).forEach(list::add);
+        history.onFleet(view(), SETTLED);
+        assertThat(history.isComplete(2 * SETTLED)).isFalse();
+    }
+
+    @Test
+    void newHolderDoesNotAcceptBeforeTheOthersHaveToldIt() {
+        ClaimHistory history = startAmong(9);
+        pull(history, 9, true, List.of());
+        String key = IntStream.iterate(0, i -> i + 1)
+                .mapToObj(i -> "k" + i)
+                .filter(k -> view().ranked("claim/" + k, "", 6).get(5).equals(SELF))
+                .findFirst()
+                .orElseThrow();
+        list.remove(view().ranked("claim/" + key, "", 1).get(0));
+        history.onFleet(view(), 2 * SETTLED);
+        assertThat(history.covers(key, 3 * SETTLED - 1)).isFalse();
+        assertThat(history.covers(key, 3 * SETTLED)).isTrue();
+    }
+
+    @Test
+    void refusesForOneWindowTheKeysWhoseHoldersWereNearlyAllLost() {
+        ClaimHistory history = startAmong(9);
+        pull(history, 9, true, List.of());
+        FakeFleetView before = view();
+        Set<String> lost = Set.of("vm0", "vm1", "vm2", "vm3");
+        list.removeIf(vm -> lost.contains(vm.id()));
+        history.onFleet(view(), SETTLED);
+        List<String> keys = IntStream.range(0, 200).mapToObj(i -> "k" + i).toList();
+        List<String> damaged = keys.stream()
+                .filter(key -> ClaimHistory.holders(before, key).containsAll(lost))
+                .toList();
+        assertThat(damaged).isNotEmpty();
+        assertThat(keys.stream().filter(key -> !history.covers(key, WINDOW)).toList())
+                .isEqualTo(damaged);
+        assertThat(history.lost(WINDOW)).containsExactlyElementsIn(lost);
+        assertThat(keys.stream().allMatch(key -> history.covers(key, WINDOW + SETTLED)))
+                .isTrue();
+    }
+
+    @Test
+    void leavingVmsCountAsHandedOver() {
+        Vm leaving = new Vm("l", 1, "herning", "127.0.0.1", 1, 2, true);
+        list.add(leaving);
+        ClaimHistory history = startAmong(3);
+        list.remove(leaving);
+        history.onFleet(view(), 1);
+        assertThat(history.lost(1)).isEmpty();
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/claim/internal/ClaimRoundTest.java
@@ -0,0 +1,71 @@
+package io.coppershelf.claim.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.coppershelf.backend.BackendResult.Answer;
+import io.coppershelf.claim.Claims.Verdict;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A request runs only with the word of a quorum of its key's holders. */
+class ClaimRoundTest {
+    private static final String CLAIMED = "CLAIMED";
+
+    @ParameterizedTest
+    @CsvSource({
+        "5,ACCEPTED ACCEPTED ACCEPTED ACCEPTED,CLAIMED",
+        "5,ACCEPTED NO_HISTORY ACCEPTED ACCEPTED ACCEPTED,CLAIMED",
+        "5,ACCEPTED ACCEPTED ACCEPTED,OPEN",
+        "5,NO_HISTORY FULL,KEY_UNDECIDED",
+        "5,ACCEPTED ACCEPTED ACCEPTED RUNNING,KEY_RUNNING",
+        "5,ACCEPTED UNKNOWN,KEY_OUTCOME_UNKNOWN",
+        "5,REUSED,KEY_REUSED",
+        "5,RUN,KEY_ANSWER_NOT_KEPT",
+        "4,ACCEPTED ACCEPTED ACCEPTED ACCEPTED,CLAIMED",
+        "4,NO_HISTORY,KEY_UNDECIDED",
+        "3,ACCEPTED ACCEPTED,OPEN",
+        "2,ACCEPTED ACCEPTED,CLAIMED",
+        "1,ACCEPTED,CLAIMED",
+        "0,,KEY_UNDECIDED"
+    })
+    void decidesAsSoonAsTheHoldersAllowIt(int holders, String answers, String expected) {
+        List<String> ids = List.of("a", "b", "c", "d", "e").subList(0, holders);
+        ClaimRound round = new ClaimRound(ids);
+        List<String> said = answers == null ? List.of() : Arrays.asList(answers.split(" "));
+        for (int i = 0; i < said.size(); i++) {
+            round.onAnswer(ids.get(i), HolderAnswer.of(HolderAnswer.Verdict.valueOf(said.get(i))));
+        }
+        assertThat(name(round.verdict())).isEqualTo(expected);
+    }
+
+    @Test
+    void countsEachHolderOnceAndNoStrangers() {
+        ClaimRound round = new ClaimRound(List.of("a", "b", "c", "d", "e"));
+        List.of("a", "a", "b", "x", "c", "c")
+                .forEach(id -> round.onAnswer(id, HolderAnswer.of(HolderAnswer.Verdict.ACCEPTED)));
+        assertThat(round.verdict()).isEmpty();
+    }
+
+    @Test
+    void handsTheKeptAnswerOfTheFirstAttemptBack() {
+        Answer answer = new Answer(201, List.of(), new byte[0]);
+        ClaimRound round = new ClaimRound(List.of("a", "b", "c"));
+        HolderAnswer ran = new HolderAnswer(HolderAnswer.Verdict.RUN, Optional.of(answer));
+        assertThat(round.onAnswer("b", ran)).hasValue(new Verdict.Answered(answer));
+        assertThat(round.onAnswer("a", HolderAnswer.of(HolderAnswer.Verdict.ACCEPTED)))
+                .isEmpty();
+    }
+
+    private static String name(Optional<Verdict> verdict) {
+        if (verdict.isEmpty()) {
+            return "OPEN";
+        }
+        return verdict.get() instanceof Verdict.Rejected rejected
+                ? rejected.error().name()
+                : CLAIMED;
+    }
+}
--- a/coppershelf/src/test/java/io/coppershelf/floor/internal/FakeFleetView.java
+++ b/coppershelf/src/test/java/io/coppershelf/floor/internal/FakeFleetView.java
@@ -1,7 +1,9 @@
 package io.coppershelf.floor.internal;
 
+import com.google.common.hash.Hashing;
 import io.coppershelf.membership.FleetView;
 import io.coppershelf.membership.Vm;
+import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -27,9 +29,13 @@
     @Override
     public List<Vm> ranked(String key, String preferredDataCentre, int limit) {
         return vms.stream()
-                .sorted(Comparator.comparing((Vm vm) -> (key + vm.id()).hashCode() * 0x9E3779B9)
+                .sorted(Comparator.comparing((Vm vm) -> score(key + '/' + vm.id()))
                         .thenComparing(Vm::id))
                 .limit(limit)
                 .toList();
     }
+
+    private static long score(String text) {
+        return Hashing.murmur3_128().hashString(text, StandardCharsets.UTF_8).asLong();
+    }
 }
