Failure tests of the path from caller to backend server, and its protocols

Ruled out: 431 by the JDK's own limit (it closes the connection unanswered), so the limit of the settings is checked in front of it. Conclusion: each fault has one outcome, told on the wire; the JDK's server hides a word between path and protocol, which stays undetected.

--- a/bench/src/main/java/io/coppershelf/bench/backend/BackendServerStandIn.java
+++ b/bench/src/main/java/io/coppershelf/bench/backend/BackendServerStandIn.java
@@ -79,6 +79,7 @@
         if (work != null) {
             execution = cancelWork(work);
         }
+        exchange.getResponseHeaders().set(BackendHeaders.TRY_ID, header(exchange, BackendHeaders.TRY_ID));
         exchange.getResponseHeaders().set(BackendHeaders.EXECUTION, execution);
         answers.sendText(exchange, 200, "");
     }
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/ForwardReplyCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/ForwardReplyCodec.java
@@ -4,6 +4,7 @@
 import io.coppershelf.admission.TryResult.GroupLoad;
 import io.coppershelf.backend.BackendResult.Answer;
 import io.coppershelf.outcome.ErrorKind;
+import io.coppershelf.peer.MessageFields;
 import io.coppershelf.peer.PeerMessageCodec;
 import java.io.IOException;
 import java.time.Duration;
@@ -11,7 +12,7 @@
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 
-/** Reads and writes {@link ForwardReply}; an absent field is nil. */
+/** Reads and writes {@link ForwardReply}. */
 final class ForwardReplyCodec implements PeerMessageCodec<ForwardReply> {
     private static final int TYPE_ID = 41;
 
@@ -29,65 +30,40 @@
     public void write(ForwardReply message, MessagePacker packer) throws IOException {
         TryResult result = message.result();
         packer.packString(message.tryId());
-        writeAnswer(result.answer(), packer);
-        if (result.error().isPresent()) {
-            packer.packString(result.error().get().name());
-        } else {
-            packer.packNil();
-        }
-        if (result.retryAfter().isPresent()) {
-            packer.packLong(result.retryAfter().get().toMillis());
-        } else {
-            packer.packNil();
-        }
-        writeLoad(result.load(), packer);
+        MessageFields.writeOptional(packer, result.answer(), ForwardReplyCodec::writeAnswer);
+        MessageFields.writeOptional(packer, result.error(), (target, error) -> target.packString(error.name()));
+        MessageFields.writeOptional(packer, result.retryAfter(), (target, delay) -> target.packLong(delay.toMillis()));
+        MessageFields.writeOptional(packer, result.load(), ForwardReplyCodec::writeLoad);
     }
 
-    private static void writeAnswer(Optional<Answer> answer, MessagePacker packer) throws IOException {
-        if (answer.isEmpty()) {
-            packer.packNil();
-            return;
-        }
-        packer.packInt(answer.get().status());
-        WireFields.writeHeaders(answer.get().headers(), packer);
-        WireFields.writeBytes(answer.get().body(), packer);
+    private static void writeAnswer(MessagePacker packer, Answer answer) throws IOException {
+        packer.packInt(answer.status());
+        WireFields.writeHeaders(packer, answer.headers());
+        MessageFields.writeBytes(packer, answer.body());
     }
 
-    private static void writeLoad(Optional<GroupLoad> load, MessagePacker packer) throws IOException {
-        if (load.isEmpty()) {
-            packer.packNil();
-            return;
-        }
-        packer.packInt(load.get().freeSlots());
-        packer.packLong(load.get().expectedWaitNanos());
+    private static void writeLoad(MessagePacker packer, GroupLoad load) throws IOException {
+        packer.packInt(load.freeSlots());
+        packer.packLong(load.expectedWaitNanos());
     }
 
     @Override
     public ForwardReply read(MessageUnpacker unpacker) throws IOException {
         String tryId = unpacker.unpackString();
-        Optional<Answer> answer = readAnswer(unpacker);
-        Optional<ErrorKind> error =
-                unpacker.tryUnpackNil() ? Optional.empty() : Optional.of(WireFields.readKind(unpacker));
+        Optional<Answer> answer = MessageFields.readOptional(unpacker, ForwardReplyCodec::readAnswer);
+        Optional<ErrorKind> error = MessageFields.readOptional(unpacker, WireFields::readKind);
         if (answer.isPresent() == error.isPresent()) {
             throw new IOException("expected either an answer or an error kind");
         }
         Optional<Duration> retryAfter =
-                unpacker.tryUnpackNil() ? Optional.empty() : Optional.of(Duration.ofMillis(unpacker.unpackLong()));
-        return new ForwardReply(tryId, new TryResult(answer, error, retryAfter, readLoad(unpacker)));
+                MessageFields.readOptional(unpacker, source -> Duration.ofMillis(source.unpackLong()));
+        Optional<GroupLoad> load =
+                MessageFields.readOptional(unpacker, source -> new GroupLoad(source.unpackInt(), source.unpackLong()));
+        return new ForwardReply(tryId, new TryResult(answer, error, retryAfter, load));
     }
 
-    private static Optional<Answer> readAnswer(MessageUnpacker unpacker) throws IOException {
-        if (unpacker.tryUnpackNil()) {
-            return Optional.empty();
-        }
+    private static Answer readAnswer(MessageUnpacker unpacker) throws IOException {
         int status = unpacker.unpackInt();
-        return Optional.of(new Answer(status, WireFields.readHeaders(unpacker), WireFields.readBytes(unpacker)));
-    }
-
-    private static Optional<GroupLoad> readLoad(MessageUnpacker unpacker) throws IOException {
-        if (unpacker.tryUnpackNil()) {
-            return Optional.empty();
-        }
-        return Optional.of(new GroupLoad(unpacker.unpackInt(), unpacker.unpackLong()));
+        return new Answer(status, WireFields.readHeaders(unpacker), MessageFields.readBytes(unpacker));
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/ForwardRequestCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/ForwardRequestCodec.java
@@ -3,6 +3,7 @@
 import io.coppershelf.admission.GroupName;
 import io.coppershelf.admission.TryRequest;
 import io.coppershelf.kernel.TimeSource;
+import io.coppershelf.peer.MessageFields;
 import io.coppershelf.peer.PeerMessageCodec;
 import java.io.IOException;
 import java.time.Duration;
@@ -12,6 +13,7 @@
 /** Reads and writes {@link ForwardRequest}; reading turns the time left into a deadline of this VM. */
 final class ForwardRequestCodec implements PeerMessageCodec<ForwardRequest> {
     private static final int TYPE_ID = 40;
+    private static final Duration LONGEST_REMAINING = Duration.ofDays(1);
 
     private final TimeSource time;
 
@@ -38,8 +40,8 @@
         packer.packString(request.route());
         packer.packString(request.method());
         packer.packString(request.target());
-        WireFields.writeHeaders(request.headers(), packer);
-        WireFields.writeBytes(request.body(), packer);
+        WireFields.writeHeaders(packer, request.headers());
+        MessageFields.writeBytes(packer, request.body());
         packer.packBoolean(request.idempotent());
         packer.packInt(request.weight());
         packer.packInt(request.largestAnswer());
@@ -55,12 +57,12 @@
         String method = unpacker.unpackString();
         String target = unpacker.unpackString();
         var headers = WireFields.readHeaders(unpacker);
-        byte[] body = WireFields.readBytes(unpacker);
+        byte[] body = MessageFields.readBytes(unpacker);
         boolean idempotent = unpacker.unpackBoolean();
         int weight = unpacker.unpackInt();
         int largestAnswer = unpacker.unpackInt();
         boolean hedge = unpacker.unpackBoolean();
-        long remainingMillis = unpacker.unpackLong();
+        long remainingMillis = readRemaining(unpacker);
         long deadline = time.nanos() + Duration.ofMillis(remainingMillis).toNanos();
         return new ForwardRequest(
                 new TryRequest(
@@ -78,4 +80,13 @@
                         deadline),
                 remainingMillis);
     }
+
+    private static long readRemaining(MessageUnpacker unpacker) throws IOException {
+        long remainingMillis = unpacker.unpackLong();
+        if (remainingMillis < 1 || remainingMillis > LONGEST_REMAINING.toMillis()) {
+            throw new IOException(
+                    "expected 1 to " + LONGEST_REMAINING.toMillis() + " ms left but got " + remainingMillis);
+        }
+        return remainingMillis;
+    }
 }
--- a/coppershelf/src/main/java/io/coppershelf/caller/CallerPart.java
+++ b/coppershelf/src/main/java/io/coppershelf/caller/CallerPart.java
@@ -4,12 +4,14 @@
 import io.coppershelf.caller.internal.ServerProperties;
 import io.coppershelf.kernel.Part;
 import io.coppershelf.kernel.ServiceRegistry;
+import io.coppershelf.operator.OperatorDesk;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 
-/** The part that takes callers' requests. */
+/** The part that takes callers' requests; the operator desk must be registered before {@link #register} is called. */
 public final class CallerPart implements Part {
-    private CallerServer server;
+    private volatile Optional<CallerServer> server = Optional.empty();
 
     /** Creates the part and sets the properties of the JDK's server, before its classes load. */
     public CallerPart() {
@@ -22,25 +24,31 @@
     }
 
     @Override
-    public void register(ServiceRegistry registry) {}
+    public void register(ServiceRegistry registry) {
+        registry.require(OperatorDesk.NAME).addReadiness(name(), this::isReady);
+    }
+
+    private boolean isReady() {
+        return server.filter(CallerServer::isServing).isPresent();
+    }
 
     @Override
     public void start(ServiceRegistry registry) {
-        server = CallerServer.start(registry);
+        server = Optional.of(CallerServer.start(registry));
     }
 
     /** Returns the address on which callers are served. */
     public InetSocketAddress address() {
-        return server.address();
+        return server.orElseThrow().address();
     }
 
     @Override
     public void announceStop() {
-        server.beginStop();
+        server.ifPresent(CallerServer::beginStop);
     }
 
     @Override
     public void stop(Duration limit) {
-        server.stop(limit);
+        server.ifPresent(running -> running.stop(limit));
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/caller/internal/CallerHandler.java
+++ b/coppershelf/src/main/java/io/coppershelf/caller/internal/CallerHandler.java
@@ -61,6 +61,11 @@
         isStopping = true;
     }
 
+    /** Returns whether new requests are served. */
+    boolean isServing() {
+        return !isStopping && configuration.current().ticketNumber() > 0;
+    }
+
     /** Returns the exchanges that are not answered yet. */
     Set<CallerExchange> open() {
         return open;
--- a/coppershelf/src/main/java/io/coppershelf/caller/internal/CallerServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/caller/internal/CallerServer.java
@@ -34,7 +34,6 @@
     private final ThreadPoolExecutor readers;
     private final ThreadPoolExecutor answers;
     private final ScheduledThreadPoolExecutor timers;
-    private volatile boolean isStopping;
 
     private CallerServer(
             HttpServer http,
@@ -70,8 +69,6 @@
                 answers,
                 timers);
         CallerServer server = new CallerServer(bind(settings), handler, readers, answers, timers);
-        desk.addReadiness(
-                "caller", () -> !server.isStopping && configuration.current().ticketNumber() > 0);
         server.open();
         return server;
     }
@@ -113,9 +110,13 @@
         return http.getAddress();
     }
 
+    /** Returns whether new requests are served. */
+    public boolean isServing() {
+        return handler.isServing();
+    }
+
     /** Becomes unready and refuses new requests. */
     public void beginStop() {
-        isStopping = true;
         handler.beginStop();
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/caller/internal/RequestHead.java
+++ b/coppershelf/src/main/java/io/coppershelf/caller/internal/RequestHead.java
@@ -46,6 +46,7 @@
         Headers headers = exchange.getRequestHeaders();
         URI uri = exchange.getRequestURI();
         checkSize(uri, headers, largestHead);
+        checkProtocol(exchange.getProtocol());
         headers.forEach(RequestHead::checkHeader);
         String path = checkedPath(uri);
         String target = uri.getRawQuery() == null ? path : path + "?" + uri.getRawQuery();
@@ -72,6 +73,12 @@
         }
     }
 
+    private static void checkProtocol(String protocol) {
+        if (!protocol.equals("HTTP/1.1") && !protocol.equals("HTTP/1.0")) {
+            throw malformed("expected a request line that ends with HTTP/1.1");
+        }
+    }
+
     private static void checkHeader(String name, List<String> values) {
         boolean isNameValid = !name.isEmpty() && name.chars().allMatch(RequestHead::isTokenChar);
         boolean areValuesValid = values.stream().allMatch(RequestHead::isVisible);
--- a/coppershelf/src/main/java/io/coppershelf/membership/MembershipPart.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/MembershipPart.java
@@ -72,6 +72,11 @@
         showMetrics(registry.require(OperatorDesk.NAME), fleet);
     }
 
+    @Override
+    public void announceStop() {
+        leave();
+    }
+
     @Override
     public void leave() {
         logger.atInfo().log("[membership] Telling the peers that this VM leaves.");
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/routing/internal/GroupChoiceTest.java
@@ -0,0 +1,95 @@
+package io.coppershelf.routing.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.coppershelf.admission.GroupName;
+import io.coppershelf.admission.TryResult;
+import io.coppershelf.admission.TryResult.GroupLoad;
+import io.coppershelf.outcome.ErrorKind;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class GroupChoiceTest {
+    private static final GroupName HERNING = new GroupName("rotavis", "herning");
+    private static final GroupName VIBORG = new GroupName("rotavis", "viborg");
+    private static final GroupName ODENSE = new GroupName("rotavis", "odense");
+
+    @ParameterizedTest
+    @CsvSource({"0, 0, herning", "5, 5, herning", "6, 5, viborg", "1, 0, viborg"})
+    void prefersOwnDataCentreUnlessItsWaitIsWorse(long here, long there, String expected) {
+        GroupChoice choice = new GroupChoice("herning", new Random(1));
+
+        Optional<GroupName> chosen =
+                choice.choose(List.of(VIBORG, HERNING), group -> group.equals(HERNING) ? here : there);
+
+        assertThat(chosen.map(GroupName::dataCentre)).hasValue(expected);
+    }
+
+    @Test
+    void neverChoosesTheWorstOfThreeAndSpreadsOverTheOthers() {
+        GroupChoice choice = new GroupChoice("vejle", new Random(1));
+        Map<GroupName, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 1_000; i++) {
+            GroupName chosen = choice.choose(List.of(HERNING, VIBORG, ODENSE), group -> group.equals(ODENSE) ? 9 : 0)
+                    .orElseThrow();
+            counts.merge(chosen, 1, Integer::sum);
+        }
+
+        assertThat(counts.keySet()).containsExactly(HERNING, VIBORG);
+        assertThat(counts.get(HERNING)).isGreaterThan(300);
+        assertThat(counts.get(VIBORG)).isGreaterThan(300);
+    }
+
+    @Test
+    void choosesNothingWithoutCandidate() {
+        assertThat(new GroupChoice("vejle", new Random(1)).choose(List.of(), group -> 0))
+                .isEmpty();
+    }
+
+    @Test
+    void forgetsLoadsAfterASecond() {
+        KnownLoads loads = new KnownLoads();
+        TryResult full = TryResult.failed(ErrorKind.SERVER_LOST).withLoad(new GroupLoad(0, 7_000_000));
+        loads.record(HERNING, full, 0);
+        loads.record(VIBORG, TryResult.failed(ErrorKind.OVERLOADED).withLoad(new GroupLoad(3, 0)), 0);
+
+        assertThat(loads.expectedWaitNanos(HERNING, 0)).isEqualTo(8_000_000);
+        assertThat(loads.expectedWaitNanos(VIBORG, 0)).isEqualTo(1_000_000_000);
+        assertThat(loads.expectedWaitNanos(ODENSE, 0)).isEqualTo(0);
+        assertThat(loads.expectedWaitNanos(HERNING, Duration.ofSeconds(2).toNanos()))
+                .isEqualTo(0);
+    }
+
+    @Test
+    void boundsRetriesToATenthOfFirstTries() {
+        RetryBudget budget = new RetryBudget();
+        int spent = 0;
+        for (int i = 0; i < 10_000; i++) {
+            budget.recordFirstTry();
+            spent += budget.trySpend() ? 1 : 0;
+        }
+
+        assertThat(spent).isAtLeast(1_000);
+        assertThat(spent).isAtMost(1_005);
+    }
+
+    @Test
+    void findsUsualLatency() {
+        UsualLatency usual = new UsualLatency();
+        Random random = new Random(3);
+        assertThat(usual.nanos()).isEmpty();
+        for (int i = 0; i < 20_000; i++) {
+            usual.record(1_000_000 + random.nextInt(9_000_000));
+        }
+
+        assertThat(usual.nanos().orElseThrow()).isGreaterThan(8_000_000);
+        assertThat(usual.nanos().orElseThrow()).isLessThan(10_500_000);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/routing/internal/RequestDecisionsTest.java
@@ -0,0 +1,336 @@
+package io.coppershelf.routing.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.coppershelf.admission.GroupName;
+import io.coppershelf.admission.TryResult;
+import io.coppershelf.backend.BackendResult.Answer;
+import io.coppershelf.outcome.ErrorKind;
+import io.coppershelf.outcome.Outcome;
+import io.coppershelf.routing.RequestResult;
+import io.coppershelf.routing.internal.RequestAction.AnswerCaller;
+import io.coppershelf.routing.internal.RequestAction.CancelTry;
+import io.coppershelf.routing.internal.RequestAction.SendTry;
+import io.coppershelf.routing.internal.RequestAction.Settle;
+import io.coppershelf.routing.internal.RequestEvent.DeadlinePassed;
+import io.coppershelf.routing.internal.RequestEvent.GaveUp;
+import io.coppershelf.routing.internal.RequestEvent.HedgeDue;
+import io.coppershelf.routing.internal.RequestEvent.Started;
+import io.coppershelf.routing.internal.RequestEvent.TryEnded;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class RequestDecisionsTest {
+    private static final GroupName HERE = new GroupName("vagtbank", "herning");
+    private static final GroupName THERE = new GroupName("vagtbank", "viborg");
+    private static final Answer ANSWER = new Answer(200, List.of(), new byte[0]);
+
+    private final FakePolicy policy = new FakePolicy();
+
+    private static TryEnded ended(int number, ErrorKind error) {
+        return new TryEnded(number, TryResult.failed(error));
+    }
+
+    private static TryEnded answered(int number) {
+        return new TryEnded(
+                number, new TryResult(Optional.of(ANSWER), Optional.empty(), Optional.empty(), Optional.empty()));
+    }
+
+    private RequestDecisions started(boolean isIdempotent) {
+        RequestDecisions decisions = new RequestDecisions(isIdempotent, policy);
+        assertThat(decisions.on(new Started())).containsExactly(new SendTry(1, HERE, 0, false));
+        return decisions;
+    }
+
+    private static List<RequestAction> told(ErrorKind error) {
+        return List.of(new AnswerCaller(RequestResult.failed(error)), new Settle(error.outcome(), Optional.empty()));
+    }
+
+    private static final List<RequestAction> TOLD_ANSWER =
+            List.of(new AnswerCaller(RequestResult.answered(ANSWER)), new Settle(Outcome.RUN, Optional.of(ANSWER)));
+
+    @Test
+    void answersCallerWithServersAnswer() {
+        assertThat(started(false).on(answered(1))).isEqualTo(TOLD_ANSWER);
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void neverSendsNonIdempotentWorkAgainWithoutProof(ErrorKind error) {
+        List<RequestAction> actions = started(false).on(ended(1, error));
+
+        boolean isSentAgain = actions.stream().anyMatch(SendTry.class::isInstance);
+        assertWithMessage("sent again after %s", error)
+                .that(isSentAgain && error.outcome() != Outcome.NOT_RUN)
+                .isFalse();
+        if (!isSentAgain) {
+            assertThat(actions).isEqualTo(told(error));
+        }
+    }
+
+    @ParameterizedTest(name = "{0}: {1} goes to {2} candidate {3}")
+    @CsvSource({
+        "false, OWNER_UNREACHABLE, herning, 1, 5",
+        "false, STOPPING, herning, 1, 5",
+        "true, STARTING, herning, 1, 5",
+        "false, OVERLOADED, viborg, 0, 4",
+        "false, SERVER_REFUSED, viborg, 0, 4",
+        "false, NO_SERVER, viborg, 0, 4",
+        "true, SERVER_LOST, viborg, 0, 4",
+        "true, ANSWER_TRUNCATED, viborg, 0, 4",
+        "true, ANSWER_FOREIGN, viborg, 0, 4",
+        "true, OWNER_LOST, viborg, 0, 4",
+    })
+    void triesElsewhereWithinBudget(
+            boolean isIdempotent, ErrorKind error, String dataCentre, int candidate, int budgetLeft) {
+        List<RequestAction> actions = started(isIdempotent).on(ended(1, error));
+
+        assertThat(actions).containsExactly(new SendTry(2, new GroupName("vagtbank", dataCentre), candidate, false));
+        assertThat(policy.budget).isEqualTo(budgetLeft);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"false, OVERLOADED", "false, SERVER_REFUSED", "true, SERVER_LOST", "true, OWNER_LOST"})
+    void triesNoMoreWithoutBudget(boolean isIdempotent, ErrorKind error) {
+        policy.budget = 0;
+
+        assertThat(started(isIdempotent).on(ended(1, error))).isEqualTo(told(error));
+    }
+
+    @Test
+    void triesSameGroupAgainIfThereIsNoOtherUnlessItIsOverloaded() {
+        policy.groups = List.of(HERE);
+
+        assertThat(started(false).on(ended(1, ErrorKind.SERVER_REFUSED)))
+                .containsExactly(new SendTry(2, HERE, 0, false));
+        assertThat(started(true).on(ended(1, ErrorKind.OWNER_LOST))).containsExactly(new SendTry(2, HERE, 1, false));
+        assertThat(started(false).on(ended(1, ErrorKind.OVERLOADED))).isEqualTo(told(ErrorKind.OVERLOADED));
+    }
+
+    @Test
+    void givesUpAfterAllOwnersOfAllGroups() {
+        RequestDecisions decisions = started(false);
+        List<SendTry> sent = new ArrayList<>();
+        List<RequestAction> actions = List.of();
+        for (int number = 1; number <= 6; number++) {
+            actions = decisions.on(ended(number, ErrorKind.OWNER_UNREACHABLE));
+            actions.stream()
+                    .filter(SendTry.class::isInstance)
+                    .map(SendTry.class::cast)
+                    .forEach(sent::add);
+        }
+
+        assertThat(sent.stream().map(send -> send.group().dataCentre() + send.candidate()))
+                .containsExactly("herning1", "herning2", "viborg0", "viborg1", "viborg2")
+                .inOrder();
+        assertThat(actions).isEqualTo(told(ErrorKind.OWNER_UNREACHABLE));
+    }
+
+    @Test
+    void tellsUnknownOnceAnyTryMayHaveRun() {
+        RequestDecisions decisions = started(true);
+        assertThat(decisions.on(ended(1, ErrorKind.SERVER_LOST))).hasSize(1);
+
+        assertThat(decisions.on(ended(2, ErrorKind.DEADLINE_BEFORE_RUN))).isEqualTo(told(ErrorKind.SERVER_LOST));
+    }
+
+    @Test
+    void passesRetryTimeOfOwnerOn() {
+        policy.groups = List.of(HERE);
+        Duration retryAfter = Duration.ofSeconds(7);
+
+        List<RequestAction> actions =
+                started(false).on(new TryEnded(1, TryResult.refused(ErrorKind.OVERLOADED, retryAfter)));
+
+        assertThat(actions).contains(new AnswerCaller(RequestResult.failed(ErrorKind.OVERLOADED, retryAfter)));
+    }
+
+    @Test
+    void refusesServiceWithoutServers() {
+        policy.groups = List.of();
+
+        assertThat(new RequestDecisions(false, policy).on(new Started())).isEqualTo(told(ErrorKind.NO_SERVER));
+    }
+
+    @Test
+    void hedgesIdempotentWorkElsewhereAndCancelsTheSlowerTry() {
+        RequestDecisions decisions = started(true);
+
+        assertThat(decisions.on(new HedgeDue())).containsExactly(new SendTry(2, THERE, 0, true));
+        assertThat(decisions.on(new HedgeDue())).isEmpty();
+        assertThat(decisions.on(answered(2)))
+                .containsExactly(TOLD_ANSWER.get(0), new CancelTry(1), TOLD_ANSWER.get(1))
+                .inOrder();
+        assertThat(decisions.on(answered(1))).isEmpty();
+    }
+
+    @Test
+    void hedgesNeitherNonIdempotentWorkNorWithoutBudget() {
+        assertThat(started(false).on(new HedgeDue())).isEmpty();
+        policy.budget = 0;
+        assertThat(started(true).on(new HedgeDue())).isEmpty();
+    }
+
+    @Test
+    void waitsForFirstTryIfHedgeIsRefused() {
+        RequestDecisions decisions = started(true);
+        assertThat(decisions.on(new HedgeDue())).hasSize(1);
+
+        assertThat(decisions.on(ended(2, ErrorKind.OVERLOADED))).isEmpty();
+        assertThat(decisions.on(answered(1))).isEqualTo(TOLD_ANSWER);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"DEADLINE_BEFORE_RUN", "OVERLOADED"})
+    void tellsNotRunIfCancelledTryIsProvedNotRun(ErrorKind proof) {
+        RequestDecisions decisions = started(false);
+
+        assertThat(decisions.on(new GaveUp())).containsExactly(new CancelTry(1));
+        assertThat(decisions.on(ended(1, proof))).isEqualTo(told(ErrorKind.DEADLINE_BEFORE_RUN));
+        assertThat(decisions.on(new DeadlinePassed())).isEmpty();
+    }
+
+    static Stream<TryEnded> lateEnds() {
+        return Stream.of(answered(1), ended(1, ErrorKind.DEADLINE_BEFORE_RUN), ended(1, ErrorKind.SERVER_LOST));
+    }
+
+    @ParameterizedTest
+    @MethodSource("lateEnds")
+    void tellsUnknownAtDeadlineAndSettlesWithTheTruthLater(TryEnded late) {
+        RequestDecisions decisions = started(false);
+        assertThat(decisions.on(new GaveUp())).hasSize(1);
+
+        assertThat(decisions.on(new DeadlinePassed()))
+                .containsExactly(new AnswerCaller(RequestResult.failed(ErrorKind.DEADLINE_PASSED)));
+        Outcome truth = late.result().error().map(ErrorKind::outcome).orElse(Outcome.RUN);
+        assertThat(decisions.on(late))
+                .containsExactly(new Settle(truth, late.result().answer()));
+    }
+
+    @Test
+    void sendsNothingIfClaimComesAfterDeadline() {
+        RequestDecisions decisions = new RequestDecisions(false, policy);
+
+        assertThat(decisions.on(new GaveUp())).isEmpty();
+        assertThat(decisions.on(new DeadlinePassed()))
+                .containsExactly(new AnswerCaller(RequestResult.failed(ErrorKind.DEADLINE_BEFORE_RUN)));
+        assertThat(decisions.on(new Started())).containsExactly(new Settle(Outcome.NOT_RUN, Optional.empty()));
+    }
+
+    static IntStream seeds() {
+        return IntStream.range(0, 2_000);
+    }
+
+    @Test
+    void keepsItsPromisesUnderAnyOrderOfEvents() {
+        seeds().forEach(seed -> RandomHistory.play(seed, new FakePolicy()));
+    }
+
+    /** Plays random ends of tries and timers, and checks what must always hold. */
+    private static final class RandomHistory {
+        private final Random random;
+        private final boolean isIdempotent;
+        private final List<Integer> open = new ArrayList<>();
+        private boolean mayHaveRun;
+        private int answers;
+        private int settles;
+
+        private RandomHistory(int seed) {
+            random = new Random(seed);
+            isIdempotent = random.nextBoolean();
+        }
+
+        static void play(int seed, FakePolicy policy) {
+            RandomHistory history = new RandomHistory(seed);
+            RequestDecisions decisions = new RequestDecisions(history.isIdempotent, policy);
+            history.take(decisions.on(new Started()));
+            for (int step = 0; step < 12; step++) {
+                history.take(decisions.on(history.event()));
+            }
+            history.take(decisions.on(new DeadlinePassed()));
+            while (!history.open.isEmpty()) {
+                history.take(decisions.on(history.end()));
+            }
+            assertWithMessage("answers, seed %s", seed).that(history.answers).isEqualTo(1);
+            assertWithMessage("settles, seed %s", seed).that(history.settles).isEqualTo(1);
+        }
+
+        private RequestEvent event() {
+            int roll = random.nextInt(10);
+            if (roll == 0) {
+                return new HedgeDue();
+            }
+            return roll == 1 ? new GaveUp() : end();
+        }
+
+        private RequestEvent end() {
+            if (open.isEmpty()) {
+                return new HedgeDue();
+            }
+            int number = open.remove(random.nextInt(open.size()));
+            ErrorKind[] kinds = ErrorKind.values();
+            int roll = random.nextInt(kinds.length + 3);
+            if (roll >= kinds.length) {
+                mayHaveRun = true;
+                return answered(number);
+            }
+            mayHaveRun |= kinds[roll].outcome() != Outcome.NOT_RUN;
+            return ended(number, kinds[roll]);
+        }
+
+        private void take(List<RequestAction> actions) {
+            for (RequestAction action : actions) {
+                if (action instanceof SendTry send) {
+                    assertThat(isIdempotent || (open.isEmpty() && !mayHaveRun)).isTrue();
+                    open.add(send.number());
+                } else if (action instanceof AnswerCaller answer) {
+                    answers++;
+                    checkTruth(answer.result());
+                } else if (action instanceof Settle settle) {
+                    settles++;
+                    assertThat(settle.outcome() == Outcome.NOT_RUN && mayHaveRun)
+                            .isFalse();
+                }
+            }
+        }
+
+        private void checkTruth(RequestResult result) {
+            boolean isToldNotRun = result.error()
+                    .filter(error -> error.outcome() == Outcome.NOT_RUN)
+                    .isPresent();
+            assertThat(isToldNotRun && (mayHaveRun || !open.isEmpty())).isFalse();
+        }
+    }
+
+    private static final class FakePolicy implements TryPolicy {
+        private List<GroupName> groups = List.of(HERE, THERE);
+        private int budget = 5;
+
+        @Override
+        public Optional<GroupName> choose(Set<GroupName> excluded) {
+            return groups.stream().filter(group -> !excluded.contains(group)).findFirst();
+        }
+
+        @Override
+        public int candidates(GroupName group) {
+            return GroupName.OWNER_CANDIDATES;
+        }
+
+        @Override
+        public boolean spendRetry() {
+            return budget-- > 0;
+        }
+    }
+}
--- a/coppershelf/src/test/java/io/coppershelf/testing/FakeBackendServer.java
+++ b/coppershelf/src/test/java/io/coppershelf/testing/FakeBackendServer.java
@@ -19,6 +19,8 @@
 
 /** A backend server over raw sockets, whose answers are written byte by byte by a script. */
 public final class FakeBackendServer implements Closeable {
+    private static final byte LAST = 0;
+
     private final ServerSocket listener;
     private final Script script;
     private final List<Received> received = new CopyOnWriteArrayList<>();
@@ -39,6 +41,11 @@
         return server;
     }
 
+    /** Returns an answer after which the connection is closed. */
+    public static byte[] thenClose(String answer) {
+        return (answer + (char) LAST).getBytes(StandardCharsets.UTF_8);
+    }
+
     public int port() {
         return listener.getLocalPort();
     }
@@ -85,11 +92,12 @@
                 received.add(request);
                 arrivals.add(request);
                 byte[] answer = script.answer(request);
-                if (answer.length == 0) {
+                boolean isLast = answer.length == 0 || answer[answer.length - 1] == LAST;
+                socket.getOutputStream().write(answer, 0, answer.length - (answer.length > 0 && isLast ? 1 : 0));
+                socket.getOutputStream().flush();
+                if (isLast) {
                     return;
                 }
-                socket.getOutputStream().write(answer);
-                socket.getOutputStream().flush();
             }
         } catch (IOException | UncheckedIOException e) {
             closedConnections.add(number);
--- a/coppershelf/src/test/java/io/coppershelf/testing/RawCaller.java
+++ b/coppershelf/src/test/java/io/coppershelf/testing/RawCaller.java
@@ -36,20 +36,46 @@
         socket.getOutputStream().flush();
     }
 
+    /** Sends raw text to a peer that may close the connection meanwhile. */
+    public void sendLossy(String text) {
+        try {
+            send(text);
+        } catch (IOException e) {
+            // The test goes on to read what came before the loss.
+        }
+    }
+
     /** Reads one answer by its stated length. */
     public Reply reply() throws IOException {
+        Reply bare = head();
+        if (bare.head().isEmpty()) {
+            return bare;
+        }
+        int length = Integer.parseInt(bare.header("content-length"));
+        byte[] body = socket.getInputStream().readNBytes(length);
+        return new Reply(bare.head(), new String(body, StandardCharsets.UTF_8));
+    }
+
+    /** Reads one answer, an empty one if the connection is lost. */
+    public Reply replyOrLoss() {
+        try {
+            return reply();
+        } catch (IOException e) {
+            return new Reply("", "");
+        }
+    }
+
+    /** Reads the head of one answer, empty if the connection is closed instead. */
+    public Reply head() throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int b = socket.getInputStream().read();
             if (b < 0) {
-                return new Reply(head.toString(), "");
+                return new Reply("", "");
             }
             head.append((char) b);
         }
-        Reply bare = new Reply(head.toString(), "");
-        int length = Integer.parseInt(bare.header("content-length"));
-        byte[] body = socket.getInputStream().readNBytes(length);
-        return new Reply(head.toString(), new String(body, StandardCharsets.UTF_8));
+        return new Reply(head.toString(), "");
     }
 
     @Override
