Keep the log lines of a planned stop

Cause: the JDK's log manager removes all handlers in a shutdown hook of its own, at the same time as the daemon stops, so most lines of a planned stop were lost. Ruled out: a stop that does not run in a shutdown hook (SIGTERM gives no other place). Change: LastingLogManager, chosen by Main before anything is logged, ignores that reset.

--- a/coppershelf/src/main/java/io/coppershelf/cli/Main.java
+++ b/coppershelf/src/main/java/io/coppershelf/cli/Main.java
@@ -1,5 +1,7 @@
 package io.coppershelf.cli;
 
+import io.coppershelf.operator.Logging;
+
 /** Entry point of the executable jar. */
 public final class Main {
     private Main() {}
@@ -10,6 +12,7 @@
      * @param args the words of the command line
      */
     public static void main(String[] args) throws InterruptedException {
+        Logging.prepare();
         System.exit(CommandLine.run(args, new Console(System.out, System.err)));
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/operator/Logging.java
+++ b/coppershelf/src/main/java/io/coppershelf/operator/Logging.java
@@ -1,5 +1,6 @@
 package io.coppershelf.operator;
 
+import io.coppershelf.operator.internal.LastingLogManager;
 import io.coppershelf.operator.internal.LineHandler;
 import java.io.OutputStream;
 import java.util.logging.Level;
@@ -8,13 +9,21 @@
 
 /** Sets up the logs of a process: one line a record, in UTC, to one stream. */
 public final class Logging {
+    private static final String MANAGER_PROPERTY = "java.util.logging.manager";
+
     private Logging() {}
 
-    /** Sends all records of level {@code INFO} and above to the stream; replaces what was set up before. */
+    /** Chooses the log manager of the process; to be called before anything is logged. */
+    public static void prepare() {
+        System.setProperty(MANAGER_PROPERTY, LastingLogManager.class.getName());
+    }
+
+    /** Sends all records of level {@code INFO} and above to the stream until the process ends. */
     public static void configure(OutputStream out) {
         LogManager.getLogManager().reset();
         Logger root = Logger.getLogger("");
         root.setLevel(Level.INFO);
         root.addHandler(new LineHandler(out));
+        LastingLogManager.keepHandlers();
     }
 }
