Light operator pages, one service on request, alarms of the configuration

Ruled out: refusing such tickets (the verdict would depend on the order of arrival). FakeConfiguration gains the new method.

--- a/coppershelf/src/main/java/io/coppershelf/cli/StatusCommand.java
+++ b/coppershelf/src/main/java/io/coppershelf/cli/StatusCommand.java
@@ -7,6 +7,7 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.help.ExitCodes;
+import com.github.rvesse.airline.annotations.restrictions.Pattern;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import io.coppershelf.cli.internal.DaemonAddress;
 import io.coppershelf.cli.internal.FleetReport;
@@ -32,13 +33,17 @@
     @Option(name = "--at", description = "The operator address of any daemon", title = "HOST:PORT")
     private String at = "";
 
+    @Option(name = "--service", description = "Only this service", title = "NAME")
+    @Pattern(pattern = "[a-z0-9-]+", description = "lower-case letters, digits and hyphens")
+    private String service = "";
+
     @Option(name = "--json", description = "Print one JSON document")
     private boolean isJson = false;
 
     @Override
     public int run(Console console) {
         DaemonAddress daemon = Addresses.one(at);
-        Optional<FleetReport> report = FleetReport.collect(daemon, new OperatorClient());
+        Optional<FleetReport> report = FleetReport.collect(daemon, service, new OperatorClient());
         if (report.isEmpty()) {
             console.err().println("coppershelf: daemon " + daemon + " can't be reached");
             return ExitCode.NOT_REACHABLE;
@@ -66,7 +71,8 @@
                 status.path("ticket").path("number").asLong(),
                 status.path("ticket").path("digest").asText(),
                 status.path("fleet").size());
-        fleet.services().forEach(service -> print(service, out));
+        status.path("alarms").forEach(alarm -> out.println("ALARM " + alarm.asText()));
+        fleet.services().forEach(report -> print(report, out));
     }
 
     private static void print(ServiceReport service, PrintStream out) {
@@ -90,15 +96,16 @@
         ObjectNode document = JsonNodeFactory.instance.objectNode();
         document.put("vm", fleet.status().path("vm").asText());
         document.set("ticket", fleet.status().path("ticket"));
+        document.set("alarms", fleet.status().path("alarms"));
         ArrayNode services = document.putArray("services");
-        for (ServiceReport service : fleet.services()) {
+        for (ServiceReport report : fleet.services()) {
             ObjectNode node = services.addObject()
-                    .put("service", service.service())
-                    .put("floor", service.floor())
-                    .put("inService", service.inService())
-                    .put("ticket", service.ticket());
+                    .put("service", report.service())
+                    .put("floor", report.floor())
+                    .put("inService", report.inService())
+                    .put("ticket", report.ticket());
             ArrayNode servers = node.putArray("servers");
-            service.servers()
+            report.servers()
                     .forEach(server -> servers.addObject()
                             .put("server", server.server())
                             .put("dataCentre", server.dataCentre())
--- a/coppershelf/src/main/java/io/coppershelf/cli/TicketCheckCommand.java
+++ b/coppershelf/src/main/java/io/coppershelf/cli/TicketCheckCommand.java
@@ -41,7 +41,7 @@
             isValid &= check(file, store, console);
         }
         if (isValid && isWhole) {
-            List<Problem> problems = ConfigurationReview.of(store);
+            List<Problem> problems = ConfigurationReview.of(store.snapshot());
             problems.forEach(problem -> console.err().println("whole configuration: " + problem));
             isValid = problems.isEmpty();
         }
--- a/coppershelf/src/main/java/io/coppershelf/cli/TicketsCommand.java
+++ b/coppershelf/src/main/java/io/coppershelf/cli/TicketsCommand.java
@@ -55,10 +55,10 @@
         OperatorClient client = new OperatorClient();
         List<DaemonAddress> daemons = Addresses.all(at, isFleet, client);
         long end = System.nanoTime() + Duration.ofSeconds(waitSeconds).toNanos();
-        Map<DaemonAddress, Optional<JsonNode>> answers = client.askAll(daemons, "/status");
+        Map<DaemonAddress, Optional<JsonNode>> answers = client.askAll(daemons, "/ticket");
         while (exitCode(answers) != ExitCode.OK && System.nanoTime() - end < 0) {
             TimeUnit.NANOSECONDS.sleep(POLL_INTERVAL.toNanos());
-            answers = client.askAll(daemons, "/status");
+            answers = client.askAll(daemons, "/ticket");
         }
         if (isJson) {
             console.out().println(json(answers));
--- a/coppershelf/src/main/java/io/coppershelf/cli/internal/FleetReport.java
+++ b/coppershelf/src/main/java/io/coppershelf/cli/internal/FleetReport.java
@@ -18,13 +18,18 @@
  * @param unreachable the owners that gave no answer
  */
 public record FleetReport(JsonNode status, List<ServiceReport> services, List<DaemonAddress> unreachable) {
-    /** Collects the status; empty if the daemon gives no answer. */
-    public static Optional<FleetReport> collect(DaemonAddress daemon, OperatorClient client) {
-        return client.ask(daemon, "/status").map(status -> collect(status, client));
+    /**
+     * Collects the status; empty if the daemon gives no answer.
+     *
+     * @param service the service to show, empty text for all
+     */
+    public static Optional<FleetReport> collect(DaemonAddress daemon, String service, OperatorClient client) {
+        String path = service.isEmpty() ? "/status" : "/status?service=" + service;
+        return client.ask(daemon, path).map(status -> collect(status, path, client));
     }
 
-    private static FleetReport collect(JsonNode status, OperatorClient client) {
-        Map<DaemonAddress, Optional<JsonNode>> answers = client.askAll(owners(status), "/status");
+    private static FleetReport collect(JsonNode status, String path, OperatorClient client) {
+        Map<DaemonAddress, Optional<JsonNode>> answers = client.askAll(owners(status), path);
         Map<String, JsonNode> servers = new HashMap<>();
         answers.values().forEach(answer -> answer.ifPresent(owner -> collectServers(owner, servers)));
         List<ServiceReport> services = new ArrayList<>();
--- a/coppershelf/src/main/java/io/coppershelf/operator/OperatorPart.java
+++ b/coppershelf/src/main/java/io/coppershelf/operator/OperatorPart.java
@@ -9,6 +9,7 @@
 import io.coppershelf.operator.internal.FleetStatus;
 import io.coppershelf.operator.internal.HybridLogicalClock;
 import io.coppershelf.operator.internal.OperatorServer;
+import io.coppershelf.operator.internal.StatusPages;
 import io.coppershelf.operator.internal.TimelineBuffer;
 import io.coppershelf.outcome.CoppershelfException;
 import io.coppershelf.outcome.ErrorKind;
@@ -29,6 +30,7 @@
 
     private final Desk desk = new Desk();
     private Optional<OperatorServer> server = Optional.empty();
+    private Optional<StatusPages> pages = Optional.empty();
 
     @Override
     public String name() {
@@ -44,7 +46,8 @@
         registry.register(OperatorDesk.NAME, desk);
         registry.register(HybridClock.NAME, clock);
         registry.register(Timeline.NAME, timeline);
-        server = Optional.of(open(settings, timeline, clock));
+        pages = Optional.of(new StatusPages(settings.vm(), settings.dataCentre(), desk));
+        server = Optional.of(open(settings, pages.get(), timeline, clock));
     }
 
     @Override
@@ -52,7 +55,8 @@
         Optional<Configuration.Source> configurations = registry.find(Configuration.Source.NAME);
         Optional<FleetView.Source> fleet = registry.find(FleetView.Source.NAME);
         if (configurations.isPresent() && fleet.isPresent()) {
-            desk.addStatus(new FleetStatus(configurations.get(), fleet.get()));
+            FleetStatus status = new FleetStatus(configurations.get(), fleet.get());
+            pages.ifPresent(shown -> shown.showFleet(status));
         }
         server.ifPresent(OperatorServer::start);
         logger.atInfo().log("[operator] Answers on port %d.", port());
@@ -70,10 +74,10 @@
         return server.map(OperatorServer::port).orElse(0);
     }
 
-    private OperatorServer open(Settings settings, TimelineBuffer timeline, HybridClock clock) {
+    private OperatorServer open(Settings settings, StatusPages shown, TimelineBuffer timeline, HybridClock clock) {
         InetSocketAddress address = new InetSocketAddress(settings.host(), settings.operatorPort());
         try {
-            return new OperatorServer(address, settings.vm(), settings.dataCentre(), desk, timeline, clock);
+            return new OperatorServer(address, settings.vm(), shown, desk, timeline, clock);
         } catch (IOException e) {
             throw CoppershelfException.causedBy(
                     ErrorKind.INVALID_SETTINGS, "operator port " + address + " can't be bound: " + e.getMessage(), e);
--- a/coppershelf/src/main/java/io/coppershelf/operator/internal/FleetStatus.java
+++ b/coppershelf/src/main/java/io/coppershelf/operator/internal/FleetStatus.java
@@ -5,33 +5,53 @@
 import io.coppershelf.admission.GroupName;
 import io.coppershelf.membership.FleetView;
 import io.coppershelf.membership.Vm;
-import io.coppershelf.operator.StatusSource;
 import io.coppershelf.ticket.Configuration;
+import io.coppershelf.ticket.ConfigurationReview;
 import io.coppershelf.ticket.ServerSpec;
 import io.coppershelf.ticket.ServiceSpec;
 import java.util.List;
+import java.util.Optional;
 
 /** Shows the ticket in force, the configured services with the owners of their server groups, and the live VMs. */
-public final class FleetStatus implements StatusSource {
+public final class FleetStatus {
     private final Configuration.Source configurations;
     private final FleetView.Source fleet;
 
-    /** Creates a source of status over the snapshots in force. */
+    /** Creates a view of the snapshots in force. */
     public FleetStatus(Configuration.Source configurations, FleetView.Source fleet) {
         this.configurations = configurations;
         this.fleet = fleet;
     }
 
-    @Override
-    public void describe(ObjectNode status) {
+    /** Adds the ticket in force. */
+    void describeTicket(ObjectNode document) {
         Configuration configuration = configurations.current();
-        FleetView view = fleet.current();
-        status.putObject("ticket")
+        document.putObject("ticket")
                 .put("number", configuration.ticketNumber())
                 .put("digest", String.format("%016x", configuration.digest()));
-        ArrayNode services = status.putArray("services");
-        configuration.services().forEach(service -> describe(service, configuration, view, services.addObject()));
-        ArrayNode vms = status.putArray("fleet");
+    }
+
+    /** Adds the services, or only one of them. */
+    void describeServices(ObjectNode document, Optional<String> only) {
+        Configuration configuration = configurations.current();
+        FleetView view = fleet.current();
+        List<ServiceSpec> services = only.isEmpty()
+                ? configuration.services()
+                : configuration.service(only.get()).stream().toList();
+        ArrayNode list = document.putArray("services");
+        services.forEach(service -> describe(service, configuration, view, list.addObject()));
+    }
+
+    /** Adds what is wrong with the configuration in force. */
+    void describeAlarms(ObjectNode document) {
+        ArrayNode list = document.putArray("alarms");
+        ConfigurationReview.of(configurations.current()).forEach(problem -> list.add(problem.toString()));
+    }
+
+    /** Adds the live VMs. */
+    void describeFleet(ObjectNode document) {
+        FleetView view = fleet.current();
+        ArrayNode vms = document.putArray("fleet");
         view.vms().forEach(vm -> describe(vm, view, vms.addObject()));
     }
 
@@ -46,18 +66,18 @@
                 .put("server", server.name())
                 .put("dataCentre", server.dataCentre())
                 .put("draining", server.draining()));
-        ArrayNode groups = node.putArray("owners");
+        ArrayNode owners = node.putArray("owners");
         servers.stream()
                 .map(ServerSpec::dataCentre)
                 .distinct()
                 .sorted()
-                .forEach(dataCentre -> describeOwner(new GroupName(service.name(), dataCentre), view, groups));
+                .forEach(dataCentre -> describeOwner(new GroupName(service.name(), dataCentre), view, owners));
     }
 
-    private static void describeOwner(GroupName group, FleetView view, ArrayNode groups) {
+    private static void describeOwner(GroupName group, FleetView view, ArrayNode owners) {
         group.owners(view).stream()
                 .findFirst()
-                .ifPresent(owner -> groups.addObject()
+                .ifPresent(owner -> owners.addObject()
                         .put("dataCentre", group.dataCentre())
                         .put("vm", owner.id())
                         .put("at", address(owner)));
--- a/coppershelf/src/main/java/io/coppershelf/operator/internal/OperatorServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/operator/internal/OperatorServer.java
@@ -1,8 +1,7 @@
 package io.coppershelf.operator.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Splitter;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import com.sun.net.httpserver.HttpExchange;
@@ -15,8 +14,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -26,11 +25,13 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int THREADS = 4;
     private static final int LARGEST_TIMELINE_ANSWER = 5000;
+    private static final String NO_SUCH_ADDRESS =
+            "no such address; see /health, /ready, /status, /ticket, /fleet, /metrics, /timeline\n";
     private static final String JSON = "application/json";
     private static final String TEXT = "text/plain; charset=utf-8";
 
     private final String vm;
-    private final String dataCentre;
+    private final StatusPages pages;
     private final Desk desk;
     private final TimelineBuffer timeline;
     private final HybridClock clock;
@@ -51,13 +52,13 @@
     public OperatorServer(
             InetSocketAddress address,
             String vm,
-            String dataCentre,
+            StatusPages pages,
             Desk desk,
             TimelineBuffer timeline,
             HybridClock clock)
             throws IOException {
         this.vm = vm;
-        this.dataCentre = dataCentre;
+        this.pages = pages;
         this.desk = desk;
         this.timeline = timeline;
         this.clock = clock;
@@ -102,10 +103,12 @@
         return switch (exchange.getRequestURI().getPath()) {
             case "/health" -> Answer.text(200, "live\n");
             case "/ready" -> ready();
-            case "/status" -> Answer.json(200, status());
+            case "/status" -> Answer.json(200, pages.status(parameter(exchange, "service")));
+            case "/ticket" -> Answer.json(200, pages.ticket());
+            case "/fleet" -> Answer.json(200, pages.fleet());
             case "/metrics" -> metrics();
             case "/timeline" -> timeline(exchange);
-            default -> Answer.text(404, "no such address; see /health, /ready, /status, /metrics, /timeline\n");
+            default -> Answer.text(404, NO_SUCH_ADDRESS);
         };
     }
 
@@ -116,16 +119,6 @@
                 : Answer.text(503, "not ready: " + String.join(", ", unmet) + "\n");
     }
 
-    private JsonNode status() {
-        ObjectNode status = JsonNodeFactory.instance.objectNode();
-        status.put("vm", vm)
-                .put("dataCentre", dataCentre)
-                .put("time", Instant.now().toString())
-                .put("ready", desk.unmetConditions().isEmpty());
-        desk.describe(status);
-        return status;
-    }
-
     private Answer metrics() throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         metricsWriter.write(out, desk.metrics().scrape(), EscapingScheme.UNDERSCORE_ESCAPING);
@@ -135,7 +128,7 @@
     private Answer timeline(HttpExchange exchange) {
         long after;
         try {
-            after = after(exchange.getRequestURI().getRawQuery());
+            after = parameter(exchange, "after").map(TimelineDocument::parse).orElse(0L);
         } catch (NumberFormatException e) {
             return Answer.text(400, "after must be a stamp of at most 16 hexadecimal digits\n");
         }
@@ -144,9 +137,14 @@
         return Answer.json(200, document.toJson());
     }
 
-    private static long after(String query) {
-        String prefix = "after=";
-        return query != null && query.startsWith(prefix) ? TimelineDocument.parse(query.substring(prefix.length())) : 0;
+    private static Optional<String> parameter(HttpExchange exchange, String key) {
+        String query =
+                Optional.ofNullable(exchange.getRequestURI().getRawQuery()).orElse("");
+        return Splitter.on('&')
+                .splitToStream(query)
+                .filter(pair -> pair.startsWith(key + "="))
+                .map(pair -> pair.substring(key.length() + 1))
+                .findFirst();
     }
 
     private record Answer(int status, String contentType, byte[] body) {
--- a/coppershelf/src/main/java/io/coppershelf/ticket/Configuration.java
+++ b/coppershelf/src/main/java/io/coppershelf/ticket/Configuration.java
@@ -39,6 +39,9 @@
     /** Returns whether any route matches the path, whatever the method. */
     boolean isPathKnown(String path);
 
+    /** Returns the backend servers and routes that are not used because their service is not known. */
+    List<ObjectSpec> unused();
+
     /** Where traffic threads read the configuration in force. */
     interface Source {
         ServiceName<Source> NAME = ServiceName.named("configuration", Source.class);
--- a/coppershelf/src/main/java/io/coppershelf/ticket/internal/PackedConfiguration.java
+++ b/coppershelf/src/main/java/io/coppershelf/ticket/internal/PackedConfiguration.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * A configuration in packed form; objects are made on each look-up. A server or route whose service is unknown is kept
@@ -154,6 +155,19 @@
                 .anyMatch(pattern -> !routesOf(pattern).isEmpty());
     }
 
+    @Override
+    public List<ObjectSpec> unused() {
+        Stream<ObjectSpec> servers = all(ObjectType.SERVER, ServerSpec.class).stream()
+                .filter(server -> !isService(server.service()))
+                .map(ObjectSpec.class::cast);
+        Stream<ObjectSpec> routes = all(ObjectType.ROUTE, RouteSpec.class).stream()
+                .filter(route -> !isService(route.service()))
+                .map(ObjectSpec.class::cast);
+        return Stream.concat(servers, routes)
+                .sorted(Comparator.comparing(ObjectSpec::key))
+                .toList();
+    }
+
     /** Returns the shown routes with the given path, the one that was set by the highest ticket first. */
     private List<RouteSpec> routesOf(String pattern) {
         return routesByPath.names(pattern).stream()
--- a/coppershelf/src/test/java/io/coppershelf/ExamplesTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/ExamplesTest.java
@@ -34,7 +34,7 @@
             store.apply(TicketDocument.parse(Files.readString(file)));
 
             assertWithMessage(file.toString())
-                    .that(ConfigurationReview.of(store))
+                    .that(ConfigurationReview.of(store.snapshot()))
                     .isEmpty();
         }
         assertThat(store.snapshot().ticketNumber()).isEqualTo(files.size());
--- a/coppershelf/src/test/java/io/coppershelf/cli/DaemonCommandsTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/cli/DaemonCommandsTest.java
@@ -25,6 +25,7 @@
               {"server": "rotavis-2", "condition": "EJECTED", "reason": "stalls", "inFlight": 6, "slots": 6}]}]}""";
     private static final String STATUS = """
             {"vm": "a", "dataCentre": "herning", "ready": true, "ticket": {"number": 7, "digest": "00ff"},
+             "alarms": ["/services/rotavis/floor: must be less"],
              "fleet": [{"vm": "a", "at": "OWNER"}],
              "services": [{"service": "rotavis", "floor": 1, "detectionWeight": 0.8, "ticket": 7,
                "owners": [{"dataCentre": "herning", "vm": "b", "at": "OWNER"}],
@@ -48,6 +49,7 @@
         assertThat(console.run("status", "--at", asked)).isEqualTo(0);
 
         assertThat(console.out()).contains("VM a in herning, ready, ticket 7");
+        assertThat(console.out()).contains("ALARM /services/rotavis/floor: must be less");
         assertThat(console.out()).contains("rotavis: 1 of 3 servers in service, floor 1");
         assertThat(console.out()).containsMatch("rotavis-1 +herning +in-service +2/6");
         assertThat(console.out()).containsMatch("rotavis-2 +herning +ejected +6/6 +stalls");
@@ -68,9 +70,9 @@
     @CsvSource({"7, 00ff, 0, 0", "7, 00ff, 8, 1", "7, 00aa, 0, 1", "6, 00ff, 0, 1"})
     void ticketsFailsUnlessAllDaemonsAgreeAndHoldTheTicket(long number, String digest, long wanted, int exitCode)
             throws Exception {
-        String first = daemon("/status", OWNER_STATUS);
+        String first = daemon("/ticket", OWNER_STATUS);
         String second =
-                daemon("/status", "{\"ticket\": {\"number\": %d, \"digest\": \"%s\"}}".formatted(number, digest));
+                daemon("/ticket", "{\"ticket\": {\"number\": %d, \"digest\": \"%s\"}}".formatted(number, digest));
 
         int result = console.run("tickets", "--ticket", "" + wanted, "--at", first + "," + second);
 
@@ -80,8 +82,8 @@
 
     @Test
     void ticketsAsksTheFleetThatADaemonKnows() throws Exception {
-        String other = daemon("/status", OWNER_STATUS);
-        String asked = daemon("/status", STATUS.replace("OWNER", other));
+        String other = daemon("/", OWNER_STATUS);
+        String asked = daemon("/", STATUS.replace("OWNER", other));
 
         assertThat(console.run("tickets", "--fleet", "--json", "--at", asked)).isEqualTo(0);
         assertThat(console.out()).contains(other);
--- a/coppershelf/src/test/java/io/coppershelf/floor/internal/FakeConfiguration.java
+++ b/coppershelf/src/test/java/io/coppershelf/floor/internal/FakeConfiguration.java
@@ -1,6 +1,7 @@
 package io.coppershelf.floor.internal;
 
 import io.coppershelf.ticket.Configuration;
+import io.coppershelf.ticket.ObjectSpec;
 import io.coppershelf.ticket.RouteSpec;
 import io.coppershelf.ticket.ServerSpec;
 import io.coppershelf.ticket.ServiceSpec;
@@ -45,6 +46,11 @@
                 .toList();
     }
 
+    @Override
+    public List<ObjectSpec> unused() {
+        return List.of();
+    }
+
     @Override
     public List<RouteSpec> routes() {
         return List.of();
--- a/coppershelf/src/test/java/io/coppershelf/operator/OperatorPartTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/operator/OperatorPartTest.java
@@ -33,7 +33,7 @@
 
 class OperatorPartTest {
     private static final String TICKET = """
-            {"ticket": 4, "services": {"rotavis": {"floor": 1, "detectionWeight": 0.8}},
+            {"ticket": 4, "services": {"rotavis": {"floor": 2, "detectionWeight": 0.8}, "vagtbank": {"floor": 0, "detectionWeight": 0.8}},
              "servers": {"rotavis-1": {"service": "rotavis", "dataCentre": "viborg", "host": "127.0.0.1",
                                        "port": 7001, "slots": 6, "connections": 330}}}""";
 
@@ -71,9 +71,26 @@
         assertThat(status.at("/services/0/servers/0/server").asText()).isEqualTo("rotavis-1");
         assertThat(status.at("/services/0/owners/0/at").asText()).isEqualTo("127.0.0.2:8082");
         assertThat(status.at("/fleet/0/vm").asText()).isEqualTo("viborg-1");
+        assertThat(status.at("/alarms/0").asText()).contains("number of servers, 1, but is 2");
         assertThat(status.at("/extra").asInt()).isEqualTo(1);
     }
 
+    @Test
+    void showsOneServiceOnRequest() throws Exception {
+        registry.require(OperatorDesk.NAME).addStatus(status -> {
+            status.putArray("groups").addObject().put("service", "rotavis");
+            status.withArray("groups").addObject().put("service", "vagtbank");
+        });
+
+        JsonNode status = JsonMapper.builder()
+                .build()
+                .readTree(get("/status?service=vagtbank").body());
+
+        assertThat(status.path("services")).hasSize(1);
+        assertThat(status.path("groups")).hasSize(1);
+        assertThat(status.at("/groups/0/service").asText()).isEqualTo("vagtbank");
+    }
+
     @Test
     void isReadyOnlyWhileAllConditionsHold() throws Exception {
         AtomicBoolean condition = new AtomicBoolean();
@@ -102,6 +119,8 @@
     @ParameterizedTest
     @CsvSource({
         "GET,  /health,            200, live",
+        "GET,  /ticket,            200, digest",
+        "GET,  /fleet,             200, viborg-1",
         "GET,  /metrics,           200, jvm_heap_used_bytes",
         "GET,  /timeline?after=zz, 400, hexadecimal",
         "GET,  /nothing,           404, no such address",
