--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/Admission.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/Admission.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.coppershelf.admission.GroupName;
 import io.coppershelf.admission.GroupOwners;
+import io.coppershelf.admission.OwnerLookup;
 import io.coppershelf.admission.ServerGroup;
 import io.coppershelf.admission.TryRequest;
 import io.coppershelf.backend.BackendClient;
@@ -43,7 +44,7 @@
 
         groups = new LocalGroups(
                 configuration,
-                fleet,
+                new OwnerLookup(fleet),
                 name -> new GroupRuntime(
                         name,
                         decisions(name, time),
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/LocalGroups.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/LocalGroups.java
@@ -4,9 +4,9 @@
 import io.coppershelf.admission.GroupEvent;
 import io.coppershelf.admission.GroupName;
 import io.coppershelf.admission.GroupOwners.TryExchange;
+import io.coppershelf.admission.OwnerLookup;
 import io.coppershelf.admission.TryRequest;
 import io.coppershelf.admission.TryResult;
-import io.coppershelf.membership.FleetView;
 import io.coppershelf.outcome.ErrorKind;
 import io.coppershelf.ticket.Configuration;
 import io.coppershelf.ticket.ServerSpec;
@@ -27,15 +27,18 @@
 final class LocalGroups {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+    /** Up to this many services their groups are opened before the first request; ranking more would cost too much. */
+    private static final int MOST_SERVICES_TO_OPEN = 100;
+
     private final Configuration.Source configuration;
-    private final FleetView.Source fleet;
+    private final OwnerLookup owners;
     private final Function<GroupName, GroupRuntime> factory;
     private final ConcurrentMap<GroupName, GroupRuntime> groups = new ConcurrentHashMap<>();
     private volatile boolean isStopping;
 
-    LocalGroups(Configuration.Source configuration, FleetView.Source fleet, Function<GroupName, GroupRuntime> factory) {
+    LocalGroups(Configuration.Source configuration, OwnerLookup owners, Function<GroupName, GroupRuntime> factory) {
         this.configuration = configuration;
-        this.fleet = fleet;
+        this.owners = owners;
         this.factory = factory;
     }
 
@@ -44,7 +47,7 @@
         if (isStopping) {
             return refused(ErrorKind.STOPPING);
         }
-        if (!isServedHere(request.group())) {
+        if (!owners.isServedHere(request.group())) {
             return refused(ErrorKind.OWNER_UNREACHABLE);
         }
         return group(request.group())
@@ -56,12 +59,6 @@
         return new EndedTry(CompletableFuture.completedFuture(TryResult.failed(error)));
     }
 
-    private boolean isServedHere(GroupName name) {
-        FleetView view = fleet.current();
-        return name.owners(view).stream()
-                .anyMatch(vm -> vm.id().equals(view.self().id()));
-    }
-
     /** Returns the group, made if needed; empty if the configuration has no server for it. */
     Optional<GroupRuntime> group(GroupName name) {
         GroupRuntime present = groups.get(name);
@@ -93,15 +90,16 @@
     /** Takes in a change of the configuration or of the fleet; called on the control thread. */
     void refresh() {
         groups.values().forEach(this::refresh);
-        for (ServiceSpec service : configuration.current().services()) {
-            openOwned(service.name());
+        List<ServiceSpec> services = configuration.current().services();
+        if (services.size() <= MOST_SERVICES_TO_OPEN) {
+            services.forEach(service -> openOwned(service.name()));
         }
     }
 
     private void refresh(GroupRuntime runtime) {
         Optional<ServiceSpec> service =
                 configuration.current().service(runtime.name().service());
-        boolean isWanted = service.isPresent() && isServedHere(runtime.name());
+        boolean isWanted = service.isPresent() && owners.isServedHere(runtime.name());
         if (!isWanted && runtime.underWay() == 0) {
             groups.remove(runtime.name());
             return;
@@ -114,7 +112,7 @@
                 .collect(Collectors.groupingBy(ServerSpec::dataCentre, Collectors.counting()));
         dataCentres.keySet().stream()
                 .map(dataCentre -> new GroupName(service, dataCentre))
-                .filter(this::isServedHere)
+                .filter(owners::isServedHere)
                 .forEach(this::group);
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/routing/internal/RequestRun.java
+++ b/coppershelf/src/main/java/io/coppershelf/routing/internal/RequestRun.java
@@ -3,10 +3,10 @@
 import io.coppershelf.admission.GroupName;
 import io.coppershelf.admission.GroupOwners;
 import io.coppershelf.admission.GroupOwners.TryExchange;
+import io.coppershelf.admission.OwnerLookup;
 import io.coppershelf.admission.TryRequest;
 import io.coppershelf.admission.TryResult;
 import io.coppershelf.kernel.TimeSource;
-import io.coppershelf.membership.FleetView;
 import io.coppershelf.membership.Vm;
 import io.coppershelf.outcome.ErrorKind;
 import io.coppershelf.routing.InboundRequest;
@@ -71,7 +71,7 @@
     }
 
     private void send(RequestAction.SendTry send) {
-        List<Vm> owners = send.group().owners(context.fleet().current());
+        List<Vm> owners = context.lookup().owners(send.group());
         if (send.candidate() >= owners.size()) {
             on(new RequestEvent.TryEnded(send.number(), TryResult.failed(ErrorKind.OWNER_UNREACHABLE)));
             return;
@@ -117,5 +117,5 @@
     }
 
     /** The services that all requests use. */
-    record RunContext(GroupOwners owners, FleetView.Source fleet, KnownLoads loads, TimeSource time) {}
+    record RunContext(GroupOwners owners, OwnerLookup lookup, KnownLoads loads, TimeSource time) {}
 }
--- a/coppershelf/src/main/java/io/coppershelf/routing/internal/Routing.java
+++ b/coppershelf/src/main/java/io/coppershelf/routing/internal/Routing.java
@@ -1,6 +1,7 @@
 package io.coppershelf.routing.internal;
 
 import io.coppershelf.admission.GroupOwners;
+import io.coppershelf.admission.OwnerLookup;
 import io.coppershelf.claim.Claims;
 import io.coppershelf.kernel.ServiceRegistry;
 import io.coppershelf.kernel.TimeSource;
@@ -23,17 +24,17 @@
     /** Looks up the services of other parts. */
     public void start(ServiceRegistry registry) {
         TimeSource time = registry.require(TimeSource.NAME);
-        FleetView.Source fleet = registry.require(FleetView.Source.NAME);
+        OwnerLookup lookup = new OwnerLookup(registry.require(FleetView.Source.NAME));
         Settings settings = registry.require(Settings.NAME);
         KnownLoads loads = new KnownLoads();
         Random random = new Random(settings.vm().hashCode() ^ time.nanos());
         ServicePolicies policies = new ServicePolicies(
-                registry.require(Configuration.Source.NAME),
-                fleet,
+                new ServiceGroups(registry.require(Configuration.Source.NAME)),
+                lookup,
                 loads,
                 new GroupChoice(settings.dataCentre(), random));
         pipeline = new RoutedPipeline(
-                new RunContext(registry.require(GroupOwners.NAME), fleet, loads, time),
+                new RunContext(registry.require(GroupOwners.NAME), lookup, loads, time),
                 policies,
                 registry.require(Claims.NAME),
                 registry.require(Timeline.NAME),
--- a/coppershelf/src/main/java/io/coppershelf/routing/internal/ServicePolicies.java
+++ b/coppershelf/src/main/java/io/coppershelf/routing/internal/ServicePolicies.java
@@ -1,9 +1,7 @@
 package io.coppershelf.routing.internal;
 
 import io.coppershelf.admission.GroupName;
-import io.coppershelf.membership.FleetView;
-import io.coppershelf.ticket.Configuration;
-import io.coppershelf.ticket.ServerSpec;
+import io.coppershelf.admission.OwnerLookup;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -12,15 +10,15 @@
 
 /** Makes the try policy of each service from the configuration and the fleet in force. */
 final class ServicePolicies {
-    private final Configuration.Source configuration;
-    private final FleetView.Source fleet;
+    private final ServiceGroups groups;
+    private final OwnerLookup lookup;
     private final KnownLoads loads;
     private final GroupChoice choice;
     private final ConcurrentMap<String, RetryBudget> budgets = new ConcurrentHashMap<>();
 
-    ServicePolicies(Configuration.Source configuration, FleetView.Source fleet, KnownLoads loads, GroupChoice choice) {
-        this.configuration = configuration;
-        this.fleet = fleet;
+    ServicePolicies(ServiceGroups groups, OwnerLookup lookup, KnownLoads loads, GroupChoice choice) {
+        this.groups = groups;
+        this.lookup = lookup;
         this.loads = loads;
         this.choice = choice;
     }
@@ -34,15 +32,6 @@
         return new ServicePolicy(service, budget, nowNanos);
     }
 
-    private List<GroupName> groups(String service, Set<GroupName> excluded) {
-        return configuration.current().servers(service).stream()
-                .map(ServerSpec::dataCentre)
-                .distinct()
-                .map(dataCentre -> new GroupName(service, dataCentre))
-                .filter(group -> !excluded.contains(group))
-                .toList();
-    }
-
     private final class ServicePolicy implements TryPolicy {
         private final String service;
         private final RetryBudget budget;
@@ -56,14 +45,17 @@
 
         @Override
         public Optional<GroupName> choose(Set<GroupName> excluded) {
+            List<GroupName> candidates = groups.of(service).stream()
+                    .filter(group -> !excluded.contains(group))
+                    .toList();
             synchronized (choice) {
-                return choice.choose(groups(service, excluded), group -> loads.expectedWaitNanos(group, nowNanos));
+                return choice.choose(candidates, group -> loads.expectedWaitNanos(group, nowNanos));
             }
         }
 
         @Override
         public int candidates(GroupName group) {
-            return group.owners(fleet.current()).size();
+            return lookup.owners(group).size();
         }
 
         @Override
