--- a/coppershelf/src/main/java/io/coppershelf/daemon/Daemon.java
+++ b/coppershelf/src/main/java/io/coppershelf/daemon/Daemon.java
@@ -8,6 +8,7 @@
 import io.coppershelf.kernel.TimeSource;
 import io.coppershelf.kernel.internal.Kernel;
 import io.coppershelf.kernel.internal.SingleControlThread;
+import io.coppershelf.membership.LeaveNotice;
 import io.coppershelf.settings.Settings;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -27,13 +28,20 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int EXIT_OK = 0;
 
+    private final ServiceRegistry registry;
     private final Kernel kernel;
     private final SingleControlThread control;
     private final CallerPart caller;
     private final Duration stopLimit;
     private boolean isStopped;
 
-    private Daemon(Kernel kernel, SingleControlThread control, CallerPart caller, Duration stopLimit) {
+    private Daemon(
+            ServiceRegistry registry,
+            Kernel kernel,
+            SingleControlThread control,
+            CallerPart caller,
+            Duration stopLimit) {
+        this.registry = registry;
         this.kernel = kernel;
         this.control = control;
         this.caller = caller;
@@ -63,7 +71,7 @@
             throw e;
         }
         logger.atInfo().log("[kernel] VM %s started.", settings.vm());
-        return new Daemon(kernel, control, caller, Duration.ofSeconds(settings.stopSeconds()));
+        return new Daemon(registry, kernel, control, caller, Duration.ofSeconds(settings.stopSeconds()));
     }
 
     /**
@@ -93,6 +101,7 @@
             return;
         }
         isStopped = true;
+        registry.find(LeaveNotice.NAME).ifPresent(LeaveNotice::leave);
         kernel.stop(stopLimit);
         control.close();
         logger.atInfo().log("[kernel] Stopped.");
