Bench of the decisions in virtual time, and what it showed

Cause: limits and estimates were set without a measurement. Ruled out: a cluster simulator; one service at a time with fakes at the interfaces is enough to see slots, queues and evidence. Change: io.coppershelf.bench.decisions (faults, five baselines, four ways to share slots, shorter limits after an ejection; tables, JSON lines, targets). Found by it and mended: service times counted the observer's pause; a shed answer closed a server for up to a second; kinds with short deadlines went ahead of heavier ones under overload; evidence vanished when a stuck try timed out; what can't be met any more waited for its deadline.

--- /dev/null
+++ b/bench/src/main/java/io/coppershelf/bench/decisions/GroupHost.java
@@ -0,0 +1,212 @@
+package io.coppershelf.bench.decisions;
+
+import io.coppershelf.admission.GroupAction;
+import io.coppershelf.admission.GroupAction.AskEjection;
+import io.coppershelf.admission.GroupAction.AskReachability;
+import io.coppershelf.admission.GroupAction.CancelOnServer;
+import io.coppershelf.admission.GroupAction.ConditionChanged;
+import io.coppershelf.admission.GroupAction.Dispatch;
+import io.coppershelf.admission.GroupAction.Probe;
+import io.coppershelf.admission.GroupAction.Refuse;
+import io.coppershelf.admission.GroupAction.ReleaseEjection;
+import io.coppershelf.admission.GroupAction.ShareBaseline;
+import io.coppershelf.admission.GroupEvent;
+import io.coppershelf.admission.GroupEvent.BaselineHeard;
+import io.coppershelf.admission.GroupEvent.Configured;
+import io.coppershelf.admission.GroupEvent.EjectionGranted;
+import io.coppershelf.admission.GroupEvent.EjectionRefused;
+import io.coppershelf.admission.GroupEvent.ProbeEnded;
+import io.coppershelf.admission.GroupEvent.ReachabilityHeard;
+import io.coppershelf.admission.GroupEvent.RequestArrived;
+import io.coppershelf.admission.GroupEvent.Tick;
+import io.coppershelf.admission.GroupEvent.TryEnded;
+import io.coppershelf.admission.GroupStatus;
+import io.coppershelf.admission.ServerGroupDecisions;
+import io.coppershelf.backend.BackendResult.ServerState;
+import io.coppershelf.bench.decisions.FakeServer.Answer;
+import io.coppershelf.health.ServerCondition;
+import io.coppershelf.outcome.ErrorKind;
+import io.coppershelf.outcome.Outcome;
+import io.coppershelf.ticket.ServerSpec;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** A VM that decides for some servers: drives the decisions and carries out what they want. */
+final class GroupHost {
+    private static final long TICK = 50 * Units.MILLIS;
+    private static final long TO_SERVER = 150 * Units.MICROS;
+    private static final long TO_GRANTER = 3 * Units.MILLIS;
+    private static final long PROBE = 25 * Units.MILLIS;
+    private static final long PROBE_LIMIT = 250 * Units.MILLIS;
+    private static final long CANCEL_LIMIT = 100 * Units.MILLIS;
+
+    private final int index;
+    private final ServerGroupDecisions decisions;
+    private final ServiceWorld world;
+    private final Map<String, Attempt> open = new HashMap<>();
+    private final Map<String, String> serverByTry = new HashMap<>();
+
+    GroupHost(int index, ServerGroupDecisions decisions, ServiceWorld world) {
+        this.index = index;
+        this.decisions = decisions;
+        this.world = world;
+    }
+
+    /** Configures the decisions and begins to tick. */
+    void start(List<ServerSpec> servers) {
+        deliver(new Configured(world.spec().service().spec(), servers));
+        tick();
+    }
+
+    private void tick() {
+        deliver(new Tick());
+        world.time().after(TICK, this::tickOnceAwake);
+    }
+
+    private void tickOnceAwake() {
+        pausedUntil().ifPresentOrElse(until -> world.time().at(until, this::tick), this::tick);
+    }
+
+    private Optional<Long> pausedUntil() {
+        return world.plan().pausedUntil(index, world.time().now());
+    }
+
+    /** Takes a try of an entry VM. */
+    void accept(Attempt attempt) {
+        KindProfile kind = attempt.request().kind();
+        open.put(attempt.tryId(), attempt);
+        deliver(new RequestArrived(
+                attempt.tryId(),
+                kind.name(),
+                kind.idempotent(),
+                kind.weight(),
+                attempt.request().deadlineNanos(),
+                false));
+    }
+
+    private void deliver(GroupEvent event) {
+        Optional<Long> paused = pausedUntil();
+        if (paused.isPresent()) {
+            world.time().at(paused.get(), () -> deliver(event));
+            return;
+        }
+        for (GroupAction action : decisions.on(event, world.time().now())) {
+            carryOut(action);
+        }
+    }
+
+    private void carryOut(GroupAction action) {
+        if (action instanceof Dispatch dispatch) {
+            dispatch(dispatch);
+        } else if (action instanceof Refuse refuse) {
+            reply(refuse.tryId(), Reply.notRun());
+        } else if (action instanceof CancelOnServer cancel) {
+            cancel(cancel);
+        } else if (action instanceof AskEjection ask) {
+            world.time().after(TO_GRANTER, () -> askFloor(ask.server()));
+        } else if (action instanceof ReleaseEjection release) {
+            world.floor().release(release.server());
+        } else if (action instanceof Probe probe) {
+            probe(probe.server());
+        } else if (action instanceof AskReachability ask) {
+            world.time().after(TO_GRANTER, () -> deliver(new ReachabilityHeard(ask.server(), true)));
+        } else if (action instanceof ShareBaseline share) {
+            world.shareBaseline(index, new BaselineHeard("host-" + index, share.usualNanos()));
+        } else if (action instanceof ConditionChanged changed) {
+            world.conditionChanged(changed);
+        }
+    }
+
+    private void dispatch(Dispatch dispatch) {
+        Attempt attempt = open.get(dispatch.tryId());
+        long now = world.time().now();
+        world.ledger().dispatched(dispatch.server(), condition(dispatch.server()), now);
+        serverByTry.put(attempt.tryId(), dispatch.server());
+        FakeServer server = world.server(dispatch.server());
+        world.time().after(TO_SERVER, () -> server.start(attempt, answer -> answered(dispatch, answer)));
+        world.time().at(attempt.request().deadlineNanos(), () -> giveUp(dispatch));
+    }
+
+    private ServerCondition condition(String server) {
+        return decisions.status(world.time().now()).servers().stream()
+                .filter(status -> status.server().equals(server))
+                .findFirst()
+                .orElseThrow()
+                .condition();
+    }
+
+    private void answered(Dispatch dispatch, Answer answer) {
+        if (!world.plan().isCut(dispatch.server(), world.time().now())) {
+            world.time().after(TO_SERVER, () -> end(dispatch.tryId(), answer));
+        }
+    }
+
+    private void giveUp(Dispatch dispatch) {
+        if (open.containsKey(dispatch.tryId())) {
+            world.server(dispatch.server()).cancel(dispatch.tryId());
+            end(dispatch.tryId(), unknown());
+        }
+    }
+
+    private void cancel(CancelOnServer cancel) {
+        world.time().after(TO_SERVER, () -> world.server(cancel.server()).cancel(cancel.tryId()));
+        world.time().after(CANCEL_LIMIT, () -> end(cancel.tryId(), unknown()));
+    }
+
+    private static Answer unknown() {
+        return new Answer(Optional.empty(), Optional.of(ErrorKind.DEADLINE_PASSED), ServerState.UNSTATED);
+    }
+
+    private void end(String tryId, Answer answer) {
+        Optional<Long> paused = pausedUntil();
+        if (paused.isPresent()) {
+            world.time().at(paused.get(), () -> end(tryId, answer));
+            return;
+        }
+        if (!open.containsKey(tryId) || serverByTry.remove(tryId) == null) {
+            return;
+        }
+        answer.error()
+                .filter(error -> error == ErrorKind.SERVER_REFUSED)
+                .ifPresent(error -> world.ledger().shed());
+        deliver(new TryEnded(tryId, answer.status(), answer.error(), answer.state()));
+        reply(tryId, replyTo(answer));
+    }
+
+    private static Reply replyTo(Answer answer) {
+        if (answer.status().isPresent()) {
+            return Reply.answered(answer.status().get());
+        }
+        boolean notRun = answer.error().map(ErrorKind::outcome).orElse(Outcome.UNKNOWN) == Outcome.NOT_RUN;
+        return notRun ? Reply.notRun() : Reply.unknown();
+    }
+
+    private void reply(String tryId, Reply reply) {
+        Attempt attempt = open.remove(tryId);
+        GroupStatus status = decisions.status(world.time().now());
+        world.reply(index, attempt, reply, status);
+    }
+
+    private void askFloor(String server) {
+        long now = world.time().now();
+        boolean granted = world.floor().ask(server, now);
+        GroupEvent verdict =
+                granted ? new EjectionGranted(server, now + FloorCounter.RIGHT) : new EjectionRefused(server);
+        world.time().after(TO_GRANTER, () -> deliver(verdict));
+    }
+
+    private void probe(String server) {
+        boolean cut = world.plan().isCut(server, world.time().now());
+        Optional<ServerState> state = cut
+                ? Optional.empty()
+                : Optional.of(world.plan().stated(server, world.time().now()));
+        world.time().after(cut ? PROBE_LIMIT : PROBE, () -> deliver(new ProbeEnded(server, state)));
+    }
+
+    /** Takes in the usual times of another host. */
+    void hear(BaselineHeard heard) {
+        deliver(heard);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/coppershelf/bench/decisions/Policy.java
@@ -0,0 +1,64 @@
+package io.coppershelf.bench.decisions;
+
+import io.coppershelf.admission.GroupName;
+import io.coppershelf.admission.ServerGroup;
+import io.coppershelf.admission.ServerGroupDecisions;
+import io.coppershelf.bench.decisions.baseline.BaselineGroup;
+import io.coppershelf.bench.decisions.baseline.ConsecutiveErrors;
+import io.coppershelf.bench.decisions.baseline.LoadReports;
+import io.coppershelf.bench.decisions.baseline.NoDetector;
+import io.coppershelf.bench.decisions.baseline.ProbesOnly;
+import io.coppershelf.bench.decisions.baseline.RoundRobin;
+import io.coppershelf.bench.decisions.baseline.SuccessRateOutliers;
+import io.coppershelf.bench.decisions.baseline.TwoChoices;
+import io.coppershelf.health.HealthPolicy;
+import java.util.random.RandomGenerator;
+
+/** The decisions that are measured: ours and the baselines. */
+enum Policy {
+    COPPERSHELF("coppershelf", Layout.OWNER_PER_GROUP),
+    UNEQUAL("coppershelf, shorter limits after an ejection", Layout.OWNER_PER_GROUP),
+    OWNER_PER_SERVER("owner per server", Layout.OWNER_PER_SERVER),
+    LEASES("leases of slots", Layout.LEASES),
+    PROBES("probes only", Layout.OWNER_PER_SERVICE),
+    FIVE_ERRORS("five consecutive errors", Layout.OWNER_PER_SERVICE),
+    OUTLIERS("success-rate outliers", Layout.OWNER_PER_SERVICE),
+    ROUND_ROBIN("round robin", Layout.EACH_VM_ALONE),
+    TWO_CHOICES("two choices on reported load", Layout.EACH_VM_ALONE);
+
+    private static final double SHORTER_LIMITS = 0.6;
+
+    private final String title;
+    private final Layout layout;
+
+    Policy(String title, Layout layout) {
+        this.title = title;
+        this.layout = layout;
+    }
+
+    String title() {
+        return title;
+    }
+
+    Layout layout() {
+        return layout;
+    }
+
+    /** Returns the decisions of one host. */
+    ServerGroupDecisions create(GroupName name, LoadReports reports, RandomGenerator random) {
+        return switch (this) {
+            case COPPERSHELF, OWNER_PER_SERVER, LEASES -> ServerGroup.create(name, random);
+            case UNEQUAL ->
+                ServerGroup.create(
+                        name,
+                        random,
+                        service -> HealthPolicy.forDetectionWeight(service.detectionWeight())
+                                .withHistoryFactor(SHORTER_LIMITS));
+            case PROBES -> BaselineGroup.exact(new ProbesOnly());
+            case FIVE_ERRORS -> BaselineGroup.exact(new ConsecutiveErrors());
+            case OUTLIERS -> BaselineGroup.exact(new SuccessRateOutliers());
+            case ROUND_ROBIN -> BaselineGroup.alone(new RoundRobin(), new NoDetector());
+            case TWO_CHOICES -> BaselineGroup.alone(new TwoChoices(reports, random), new NoDetector());
+        };
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/coppershelf/bench/decisions/VirtualTime.java
@@ -0,0 +1,39 @@
+package io.coppershelf.bench.decisions;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** An event queue in virtual time; events of equal times run in the order in which they were set. */
+final class VirtualTime {
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::sequence));
+    private long nowNanos;
+    private long sequence;
+
+    /** Returns the time in nanoseconds from the start of the run. */
+    long now() {
+        return nowNanos;
+    }
+
+    /** Runs the task at the given time, at once if that has passed. */
+    void at(long nanos, Runnable task) {
+        events.add(new Event(Math.max(nanos, nowNanos), sequence++, task));
+    }
+
+    /** Runs the task after the given time. */
+    void after(long nanos, Runnable task) {
+        at(nowNanos + nanos, task);
+    }
+
+    /** Runs all events up to the given time. */
+    void runUntil(long endNanos) {
+        while (!events.isEmpty() && events.peek().atNanos() <= endNanos) {
+            Event event = events.remove();
+            nowNanos = event.atNanos();
+            event.task().run();
+        }
+        nowNanos = endNanos;
+    }
+
+    private record Event(long atNanos, long sequence, Runnable task) {}
+}
--- /dev/null
+++ b/bench/src/main/java/io/coppershelf/bench/decisions/baseline/ConsecutiveErrors.java
@@ -0,0 +1,34 @@
+package io.coppershelf.bench.decisions.baseline;
+
+import io.coppershelf.ticket.ServerSpec;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** Ejects a server after five errors or timeouts in a row. */
+public final class ConsecutiveErrors implements Detector {
+    private static final int ERRORS = 5;
+
+    private final Map<String, Integer> errors = new HashMap<>();
+    private final Holds holds = new Holds();
+
+    @Override
+    public void ended(String server, boolean failed, long nowNanos) {
+        errors.merge(server, failed ? 1 : 0, (old, one) -> failed ? old + one : 0);
+    }
+
+    @Override
+    public void probed(String server, boolean answered) {}
+
+    @Override
+    public Set<String> ejected(Collection<ServerSpec> servers, long nowNanos) {
+        errors.forEach((server, count) -> {
+            if (count >= ERRORS) {
+                holds.eject(server, servers.size(), nowNanos);
+            }
+        });
+        errors.values().removeIf(count -> count >= ERRORS);
+        return holds.current(nowNanos);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/coppershelf/bench/decisions/baseline/NoDetector.java
@@ -0,0 +1,19 @@
+package io.coppershelf.bench.decisions.baseline;
+
+import io.coppershelf.ticket.ServerSpec;
+import java.util.Collection;
+import java.util.Set;
+
+/** Ejects nothing. */
+public final class NoDetector implements Detector {
+    @Override
+    public void ended(String server, boolean failed, long nowNanos) {}
+
+    @Override
+    public void probed(String server, boolean answered) {}
+
+    @Override
+    public Set<String> ejected(Collection<ServerSpec> servers, long nowNanos) {
+        return Set.of();
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/admission/ServerGroup.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/ServerGroup.java
@@ -17,6 +17,7 @@
 import io.coppershelf.admission.internal.AdmissionControl;
 import io.coppershelf.admission.internal.DeadlineQueue;
 import io.coppershelf.admission.internal.GroupActions;
+import io.coppershelf.admission.internal.HopelessTries;
 import io.coppershelf.admission.internal.RetryAfterEstimate;
 import io.coppershelf.admission.internal.RunningTry;
 import io.coppershelf.admission.internal.ServerChoice;
@@ -96,6 +97,7 @@
             end(ended, nowNanos);
         } else if (event instanceof Tick) {
             health.tick(nowNanos);
+            refuseHopeless(nowNanos);
         } else if (event instanceof RequestCancelled cancelled) {
             cancel(cancelled.tryId());
         } else if (event instanceof Configured configured) {
@@ -134,13 +136,22 @@
                 : admission.admits(request, estimate, nowNanos);
         retryAfter.decided(admitted);
         if (admitted) {
-            queue.add(new WaitingTry(request, nowNanos));
+            queue.add(new WaitingTry(request, serviceTimes.meanNanos(request.route())));
             return;
         }
         ErrorKind error = estimate.slots() == 0 ? ErrorKind.NO_SERVER : ErrorKind.OVERLOADED;
         actions.add(new Refuse(request.tryId(), error, retryAfter.after(expectedWaitNanos(estimate))));
     }
 
+    private void refuseHopeless(long nowNanos) {
+        WaitEstimate estimate = estimate(nowNanos);
+        for (WaitingTry hopeless : HopelessTries.find(queue, estimate, nowNanos)) {
+            queue.remove(hopeless.tryId());
+            Duration delay = retryAfter.after(expectedWaitNanos(estimate));
+            actions.add(new Refuse(hopeless.tryId(), ErrorKind.OVERLOADED, delay));
+        }
+    }
+
     private void cancel(String tryId) {
         queue.remove(tryId)
                 .ifPresent(waiting -> actions.add(new Refuse(tryId, ErrorKind.DEADLINE_BEFORE_RUN, Duration.ZERO)));
@@ -155,8 +166,8 @@
         RunningTry done = running.get();
         TryEnd end = TryEnds.of(ended);
         if (end == TryEnd.ANSWERED) {
-            backoff.ran(done.server(), nowNanos);
-            serviceTimes.record(done.request().route(), nowNanos - done.dispatchedNanos());
+            backoff.ran(done.server());
+            serviceTimes.record(done.request().route(), health.observedNanos() - done.dispatchedNanos());
         } else if (end == TryEnd.REFUSED) {
             backoff.refused(done.server(), nowNanos);
         }
@@ -182,8 +193,7 @@
     }
 
     private boolean isTooLate(WaitingTry waiting, long nowNanos) {
-        long usual = serviceTimes.meanNanos(waiting.request().route());
-        return waiting.slackNanos(nowNanos) < usual / 2;
+        return waiting.slackNanos(nowNanos) < waiting.expectedNanos() / 2;
     }
 
     private Optional<String> serverFor(WaitingTry waiting, long nowNanos) {
@@ -196,8 +206,7 @@
 
     private boolean canWait(WaitingTry waiting, long nowNanos) {
         WaitEstimate estimate = estimate(nowNanos);
-        long needed = estimate.waitNanos(queue, 0, serviceTimes)
-                + serviceTimes.meanNanos(waiting.request().route());
+        long needed = estimate.waitNanos(queue, 0) + waiting.expectedNanos();
         return choice.hasUnsuspected(servers.values(), nowNanos)
                 && waiting.slackNanos(nowNanos) >= SUSPECTED_SLACK * needed;
     }
@@ -213,15 +222,14 @@
     }
 
     private boolean isFitForTrial(WaitingTry waiting, long nowNanos) {
-        long usual = serviceTimes.meanNanos(waiting.request().route());
         return waiting.request().idempotent()
                 && !waiting.request().hedge()
-                && waiting.slackNanos(nowNanos) >= TRIAL_SLACK * usual;
+                && waiting.slackNanos(nowNanos) >= TRIAL_SLACK * waiting.expectedNanos();
     }
 
     private void dispatch(WaitingTry waiting, String server, long nowNanos) {
         RequestArrived request = waiting.request();
-        slots.take(new RunningTry(request, server, nowNanos));
+        slots.take(new RunningTry(request, server, health.observedNanos()));
         health.dispatched(request.tryId(), server, request.route(), request.idempotent(), nowNanos);
         actions.add(new Dispatch(request.tryId(), server));
     }
@@ -231,7 +239,7 @@
     }
 
     private long expectedWaitNanos(WaitEstimate estimate) {
-        return estimate.waitNanos(queue, queue.size(), serviceTimes);
+        return estimate.waitNanos(queue, queue.size());
     }
 
     @Override
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/AdmissionControl.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/AdmissionControl.java
@@ -6,6 +6,8 @@
 public final class AdmissionControl {
     /** The multiple of the mean service time that is kept for the service itself. */
     private static final int SERVICE_MARGIN = 2;
+    /** The share of its time that a request may spend waiting. */
+    static final double WAIT_SHARE = 0.75;
 
     private final DeadlineQueue queue;
     private final ServiceTimes serviceTimes;
@@ -19,14 +21,17 @@
 
     /** Returns whether the request can be answered in time, and so may wait. */
     public boolean admits(RequestArrived request, WaitEstimate estimate, long nowNanos) {
-        weightShares.arrived(request.weight(), nowNanos);
+        weightShares.arrived(request.weight(), request.deadlineNanos() - nowNanos, nowNanos);
         if (estimate.slots() == 0) {
             return false;
         }
         int place = queue.insertionIndex(request.deadlineNanos());
-        long wait = estimate.waitNanos(queue, place, serviceTimes);
+        long wait = estimate.waitNanos(queue, place);
         long own = serviceTimes.meanNanos(request.route());
-        return fits(request, wait, own, nowNanos) && estimate.leavesRoom(queue, place, own, serviceTimes, nowNanos);
+        long backlog = estimate.waitNanos(queue, queue.size());
+        return (double) backlog <= weightShares.backlogLimitNanos(request.weight())
+                && fits(request, wait, own, nowNanos)
+                && estimate.leavesRoom(queue, place, own, nowNanos);
     }
 
     private boolean fits(RequestArrived request, long wait, long own, long nowNanos) {
@@ -34,7 +39,6 @@
         if (wait == 0) {
             return own <= slack;
         }
-        double allowed = weightShares.share(request.weight()) * (double) (slack - SERVICE_MARGIN * own);
-        return (double) wait <= allowed;
+        return (double) wait <= WAIT_SHARE * (double) (slack - SERVICE_MARGIN * own);
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/DeadlineQueue.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/DeadlineQueue.java
@@ -14,10 +14,12 @@
  */
 public final class DeadlineQueue {
     private final List<WaitingTry> tries = new ArrayList<>();
+    private long allWorkNanos;
 
     /** Adds a try at its place. */
     public void add(WaitingTry waiting) {
         tries.add(insertionIndex(waiting.request().deadlineNanos()), waiting);
+        allWorkNanos += waiting.expectedNanos();
     }
 
     /** Returns the index at which a try of the given deadline would be added. */
@@ -39,7 +41,9 @@
     public Optional<WaitingTry> takeFirst(Predicate<WaitingTry> predicate) {
         for (int index = 0; index < tries.size(); index++) {
             if (predicate.test(tries.get(index))) {
-                return Optional.of(tries.remove(index));
+                WaitingTry taken = tries.remove(index);
+                allWorkNanos -= taken.expectedNanos();
+                return Optional.of(taken);
             }
         }
         return Optional.empty();
@@ -50,11 +54,16 @@
         return takeFirst(waiting -> waiting.tryId().equals(tryId));
     }
 
-    /** Removes and returns all tries. */
-    public List<WaitingTry> takeAll() {
-        List<WaitingTry> all = List.copyOf(tries);
-        tries.clear();
-        return all;
+    /** Returns the expected service times of the tries before the given place, summed. */
+    public long workNanos(int place) {
+        if (place == tries.size()) {
+            return allWorkNanos;
+        }
+        long work = 0;
+        for (int index = 0; index < place; index++) {
+            work += tries.get(index).expectedNanos();
+        }
+        return work;
     }
 
     /** Returns the tries in order, as a view. */
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/RunningTry.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/RunningTry.java
@@ -7,7 +7,7 @@
  *
  * @param request the request as it arrived
  * @param server the server
- * @param dispatchedNanos when it was dispatched
+ * @param dispatchedNanos when it was dispatched, in observed time
  */
 public record RunningTry(RequestArrived request, String server, long dispatchedNanos) {
     /** Returns the id of the try. */
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/ServerChoice.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/ServerChoice.java
@@ -90,7 +90,8 @@
                     ? 0
                     : Math.max(0, allowed - slots.inFlight(server.name()));
             for (RunningTry running : slots.running(server.name())) {
-                residual += serviceTimes.residualNanos(running.request().route(), nowNanos - running.dispatchedNanos());
+                residual += serviceTimes.residualNanos(
+                        running.request().route(), health.observedNanos() - running.dispatchedNanos());
             }
         }
         return new WaitEstimate(all, free, residual);
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/ShedBackoff.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/ShedBackoff.java
@@ -4,9 +4,9 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Leaves a server that refused a try alone for a while, doubled for each refusal in a row. */
+/** Leaves a server that refused a try alone for a while, doubled for each refusal without a success between. */
 public final class ShedBackoff {
-    private static final Duration FIRST = Duration.ofMillis(50);
+    private static final Duration FIRST = Duration.ofMillis(10);
     private static final Duration LONGEST = Duration.ofSeconds(1);
 
     private final Map<String, Pause> pauses = new HashMap<>();
@@ -17,17 +17,14 @@
         if (last != null && nowNanos - last.untilNanos < 0) {
             return;
         }
-        Duration length = last == null ? FIRST : last.length.multipliedBy(2);
+        Duration length = last == null || last.length.isZero() ? FIRST : last.length.multipliedBy(2);
         Duration limited = length.compareTo(LONGEST) > 0 ? LONGEST : length;
         pauses.put(server, new Pause(limited, nowNanos + limited.toNanos()));
     }
 
-    /** Takes in that the server ran a try. */
-    public void ran(String server, long nowNanos) {
-        Pause last = pauses.get(server);
-        if (last != null && nowNanos - last.untilNanos >= 0) {
-            pauses.remove(server);
-        }
+    /** Takes in that the server ran a try: the next pause is short again. */
+    public void ran(String server) {
+        pauses.computeIfPresent(server, (name, last) -> new Pause(Duration.ZERO, last.untilNanos));
     }
 
     /** Returns whether the server is to be left alone. */
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/WaitEstimate.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/WaitEstimate.java
@@ -11,36 +11,26 @@
  */
 public record WaitEstimate(int slots, int free, long residualNanos) {
     /** Returns the expected wait at the given place in the queue. */
-    public long waitNanos(DeadlineQueue queue, int place, ServiceTimes serviceTimes) {
+    public long waitNanos(DeadlineQueue queue, int place) {
         if (slots == 0 || place < free) {
             return 0;
         }
-        return (residualNanos + workNanos(queue.tries().subList(0, place), serviceTimes)) / slots;
+        return (residualNanos + queue.workNanos(place)) / slots;
     }
 
     /** Returns whether a try of the given service time can go to the place without making a later one miss its time. */
-    public boolean leavesRoom(
-            DeadlineQueue queue, int place, long addedNanos, ServiceTimes serviceTimes, long nowNanos) {
+    public boolean leavesRoom(DeadlineQueue queue, int place, long addedNanos, long nowNanos) {
         if (slots == 0 || place < free) {
             return true;
         }
-        long ahead = residualNanos + addedNanos;
+        long ahead = residualNanos + addedNanos + queue.workNanos(place);
         List<WaitingTry> tries = queue.tries();
-        for (int index = 0; index < tries.size(); index++) {
-            long own = serviceTimes.meanNanos(tries.get(index).request().route());
-            if (index >= place && ahead / slots + own > tries.get(index).slackNanos(nowNanos)) {
+        for (WaitingTry later : tries.subList(place, tries.size())) {
+            if (ahead / slots + later.expectedNanos() > later.slackNanos(nowNanos)) {
                 return false;
             }
-            ahead += own;
+            ahead += later.expectedNanos();
         }
         return true;
     }
-
-    private static long workNanos(List<WaitingTry> tries, ServiceTimes serviceTimes) {
-        long work = 0;
-        for (WaitingTry waiting : tries) {
-            work += serviceTimes.meanNanos(waiting.request().route());
-        }
-        return work;
-    }
 }
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/WaitingTry.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/WaitingTry.java
@@ -6,9 +6,9 @@
  * A try that waits for a slot.
  *
  * @param request the request as it arrived
- * @param arrivedNanos when it arrived
+ * @param expectedNanos its expected service time
  */
-public record WaitingTry(RequestArrived request, long arrivedNanos) {
+public record WaitingTry(RequestArrived request, long expectedNanos) {
     /** Returns the id of the try. */
     public String tryId() {
         return request.tryId();
--- a/coppershelf/src/main/java/io/coppershelf/health/GroupHealth.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/GroupHealth.java
@@ -6,6 +6,7 @@
 import io.coppershelf.health.internal.ObservedClock;
 import io.coppershelf.health.internal.ServerEvidence.Finding;
 import io.coppershelf.health.internal.ServerHealth;
+import io.coppershelf.health.internal.StallDetector;
 import io.coppershelf.health.internal.UsualTimes;
 import io.coppershelf.health.internal.WatchedTry;
 import io.coppershelf.ticket.ServerSpec;
@@ -39,7 +40,7 @@
     private static final long LEAST_DRAIN_NANOS = Duration.ofSeconds(10).toNanos();
     /** A try whose life was not observed for longer than this says nothing about its server. */
     private static final long UNOBSERVED_LIMIT_NANOS = Duration.ofMillis(500).toNanos();
-    /** A timeout counts as an error of the server if the try was so surprisingly late. */
+    /** A timeout speaks against the server if the try was so surprisingly late. */
     private static final double TIMEOUT_NATS = 3.0;
 
     private final HealthCommands commands;
@@ -148,11 +149,7 @@
         switch (end) {
             case ANSWERED -> judgeAnswer(server, health, watched, age, nowNanos);
             case FAILED -> judgeError(server, health, watched, nowNanos);
-            case TIMED_OUT -> {
-                if (isLate(watched, age)) {
-                    judgeError(server, health, watched, nowNanos);
-                }
-            }
+            case TIMED_OUT -> judgeTimeout(server, health, watched, nowNanos);
             case NOT_CONNECTED, REFUSED, NEUTRAL -> {}
         }
     }
@@ -174,11 +171,15 @@
         errorRates.record(server, watched.route(), true);
     }
 
-    private boolean isLate(WatchedTry watched, long age) {
-        return usualTimes
+    private void judgeTimeout(String server, ServerHealth health, WatchedTry watched, long nowNanos) {
+        double surprise = usualTimes
                 .usual(watched.route())
-                .map(usual -> usual.surprise(age) >= TIMEOUT_NATS)
-                .orElse(false);
+                .map(usual -> StallDetector.surprise(watched, usual.slowedBy(health.slowness()), clock.observedNanos()))
+                .orElse(0.0);
+        if (surprise >= TIMEOUT_NATS) {
+            health.timedOut(surprise, time(nowNanos));
+            errorRates.record(server, watched.route(), true);
+        }
     }
 
     /** Takes in what a server says of itself through a probe, empty if the probe failed. */
@@ -309,6 +310,11 @@
                 .findFirst();
     }
 
+    /** Returns the time that this process really observed; only differences have a meaning. */
+    public long observedNanos() {
+        return clock.observedNanos();
+    }
+
     /** Returns the condition of the server. */
     public ServerCondition condition(String server) {
         return find(server).map(ServerHealth::condition).orElse(ServerCondition.IN_SERVICE);
--- a/coppershelf/src/main/java/io/coppershelf/health/HealthPolicy.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/HealthPolicy.java
@@ -11,9 +11,9 @@
 public record HealthPolicy(double suspicionNats, double ejectionNats, int probationAnswers, double historyFactor) {
     private static final double SUSPICION_NATS = 9.0;
     private static final double SUSPICION_NATS_SAVED = 3.0;
-    private static final double EJECTION_NATS = 22.0;
-    private static final double EJECTION_NATS_SAVED = 9.0;
-    private static final int PROBATION_ANSWERS = 5;
+    private static final double EJECTION_NATS = 24.0;
+    private static final double EJECTION_NATS_SAVED = 10.0;
+    private static final int PROBATION_ANSWERS = 10;
 
     /**
      * Returns the policy of a service.
--- a/coppershelf/src/main/java/io/coppershelf/health/internal/LatencyComparison.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/LatencyComparison.java
@@ -4,6 +4,8 @@
 public final class LatencyComparison {
     /** The slowness against peers that is to be found. */
     private static final double SLOW_LOG_RATIO = Math.log(2.5);
+    /** How far the usual time of the peers may itself be off. */
+    private static final double USUAL_LOG_ERROR = 0.1;
     /** One answer alone can't say more than this. */
     private static final double SAMPLE_LIMIT_NATS = 4.0;
 
@@ -19,7 +21,7 @@
     /** Returns the log-likelihood ratio of an answer in nats, positive if it speaks for slowness. */
     public static double ratio(long nanos, UsualTime usual) {
         double variance = usual.logDeviation() * usual.logDeviation();
-        double ratio = SLOW_LOG_RATIO / variance * (usual.deviation(nanos) - SLOW_LOG_RATIO / 2);
+        double ratio = SLOW_LOG_RATIO / variance * (usual.deviation(nanos) - SLOW_LOG_RATIO / 2 - USUAL_LOG_ERROR);
         return Math.max(-SAMPLE_LIMIT_NATS, Math.min(SAMPLE_LIMIT_NATS, ratio));
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/health/internal/LogAverage.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/LogAverage.java
@@ -2,7 +2,7 @@
 
 /** An exponentially weighted moving average of logarithms; plain average over the first samples. */
 final class LogAverage {
-    private static final double SAMPLE_WEIGHT = 0.05;
+    private static final double SAMPLE_WEIGHT = 0.02;
 
     private double mean;
     private int samples;
--- a/coppershelf/src/main/java/io/coppershelf/health/internal/ServerEvidence.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/ServerEvidence.java
@@ -9,6 +9,7 @@
 /** The evidence against one server from the work that it does. */
 public final class ServerEvidence {
     private final LatencyComparison latency = new LatencyComparison();
+    private final CumulativeSum silence = new CumulativeSum();
     private final ErrorComparison errors = new ErrorComparison();
     private final Map<String, WatchedTry> inFlight = new LinkedHashMap<>();
 
@@ -32,9 +33,21 @@
         }
     }
 
-    /** Returns the comparison of service times. */
-    public LatencyComparison latency() {
-        return latency;
+    /** Takes in a service time; returns its log-likelihood ratio, positive if it speaks for slowness. */
+    public double recordAnswer(long nanos, UsualTime usual, long observedNanos) {
+        double ratio = latency.record(nanos, usual, observedNanos);
+        silence.add(Math.min(0, ratio), observedNanos);
+        return ratio;
+    }
+
+    /** Takes in that a try ended without an answer after a time that is so surprising, in nats. */
+    public void recordSilence(double surprise, long observedNanos) {
+        silence.add(surprise, observedNanos);
+    }
+
+    /** Sets the evidence of slowness in nats. */
+    public void suppose(double nats, long observedNanos) {
+        latency.set(nats, observedNanos);
     }
 
     /** Returns the comparison of errors. */
@@ -50,12 +63,14 @@
     /** Lets old evidence fade. */
     public void fade(long observedNanos) {
         latency.fade(observedNanos);
+        silence.fade(observedNanos);
         errors.fade(observedNanos);
     }
 
     /** Forgets all evidence; what is in flight says nothing any more. */
     public void clear(long observedNanos) {
         latency.set(0, observedNanos);
+        silence.set(0, observedNanos);
         errors.clear();
         inFlight.values().forEach(WatchedTry::ignore);
     }
@@ -68,12 +83,13 @@
     /** Returns the evidence in nats and its main cause. */
     public Finding finding(UsualTimes usualTimes, double slowness, long observedNanos) {
         double stall = StallDetector.evidence(inFlight.values(), usualTimes, slowness, observedNanos);
+        double silent = stall + silence.nats();
         double slow = latency.evidence();
         double failing = errors.evidence();
-        if (failing >= stall + slow) {
+        if (failing >= silent + slow) {
             return new Finding(failing, "errors");
         }
-        return new Finding(stall + slow, stall >= slow ? "stalled" : "slow");
+        return new Finding(silent + slow, silent >= slow ? "stalled" : "slow");
     }
 
     /**
--- a/coppershelf/src/main/java/io/coppershelf/health/internal/ServerHealth.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/ServerHealth.java
@@ -90,7 +90,7 @@
 
     /** Takes in the service time of an answer against the usual time on the server's peers. */
     public void answered(long nanos, UsualTime usual, GroupTime time) {
-        double ratio = evidence.latency().record(nanos, usual.slowedBy(slowness()), time.observedNanos());
+        double ratio = evidence.recordAnswer(nanos, usual.slowedBy(slowness()), time.observedNanos());
         if (condition == ServerCondition.PROBATION && ratio < 0) {
             goodAnswers++;
         }
@@ -104,6 +104,14 @@
         }
     }
 
+    /** Takes in that a try ended without an answer, and how surprising its age was. */
+    public void timedOut(double surprise, GroupTime time) {
+        evidence.recordSilence(surprise, time.observedNanos());
+        if (condition == ServerCondition.PROBATION) {
+            holdAgain(time);
+        }
+    }
+
     /** Takes in that the right to eject is held until the given time. */
     public void granted(long untilNanos, GroupTime time) {
         boolean out = condition == ServerCondition.EJECTED || condition == ServerCondition.PROBATION;
@@ -231,7 +239,7 @@
 
     private void returnToSuspicion(String why, GroupTime time) {
         if (condition == ServerCondition.EJECTED || condition == ServerCondition.PROBATION) {
-            evidence.latency().set(policy.ejectionNats(), time.observedNanos());
+            evidence.suppose(policy.ejectionNats(), time.observedNanos());
             change(ServerCondition.SUSPECTED, why, time);
         }
     }
--- a/coppershelf/src/main/java/io/coppershelf/health/internal/StallDetector.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/StallDetector.java
@@ -40,7 +40,8 @@
         return combined(sum, count);
     }
 
-    private static double surprise(WatchedTry watched, UsualTime usual, long observedNanos) {
+    /** Returns how surprising it is that the try has run for so long, in nats, up to what one try can say. */
+    public static double surprise(WatchedTry watched, UsualTime usual, long observedNanos) {
         double surprise = Math.min(TRY_LIMIT_NATS, usual.surprise(watched.ageNanos(observedNanos)));
         return Math.max(0, surprise - OVERTAKEN_NATS * watched.overtaken());
     }
