Floor: no new right while a granter takes over, also for a right that it counts

Cause: while a new granter takes over, a renewal that came so late that the right had lapsed was counted, and the holder's next request, for a new right, was then granted because it was counted; the former granter's right for another holder could still be live. Ruled out: forgetting the counted right on the holder's refusal, which may be lost. Change: while it takes over a granter grants to requests of live rights only; test lateRenewalOfALapsedRightDoesNotBringANewOneWhileItTakesOver.

--- a/coppershelf/src/main/java/io/coppershelf/floor/internal/GrantLedger.java
+++ b/coppershelf/src/main/java/io/coppershelf/floor/internal/GrantLedger.java
@@ -26,12 +26,6 @@
         reports.put(sender, new Report(Set.copyOf(servers), nowNanos + FloorTiming.REPORT_DURATION.toNanos()));
     }
 
-    /** Returns whether the holder's right is counted now. */
-    public boolean isCounted(String server, String holder, long nowNanos) {
-        Entry entry = grants.get(new Grant(server, holder));
-        return entry != null && nowNanos - entry.untilNanos() < 0;
-    }
-
     /**
      * Counts the right if it fits, for one more grant duration from now.
      *
--- a/coppershelf/src/main/java/io/coppershelf/floor/internal/Granter.java
+++ b/coppershelf/src/main/java/io/coppershelf/floor/internal/Granter.java
@@ -20,7 +20,9 @@
      * Decides on a request for a right.
      *
      * <p>While rights of a former granter may be live only live rights are renewed; their number was within the
-     * allowance when the former granter gave them.
+     * allowance when the former granter gave them. That this granter counts a right is not enough then: the request
+     * that it was counted for may have come so late that the right had lapsed and the former granter had given it to
+     * another holder.
      */
     public Verdict decide(String holder, RightRequest request, ServiceRules rules, long nowNanos) {
         if (!lease.isHeld(nowNanos)) {
@@ -29,8 +31,7 @@
         if (request.ticket() > rules.ticket()) {
             return Verdict.REFUSED;
         }
-        boolean counted = ledger.isCounted(request.server(), holder, nowNanos);
-        if (lease.isTakingOver(nowNanos) && !counted && !request.live()) {
+        if (lease.isTakingOver(nowNanos) && !request.live()) {
             return Verdict.REFUSED;
         }
         int allowance = request.ticket() == rules.ticket()
--- a/coppershelf/src/test/java/io/coppershelf/floor/internal/GranterTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/floor/internal/GranterTest.java
@@ -54,6 +54,12 @@
         assertThat(ask("s-3", false, TAKEOVER)).isEqualTo(Verdict.REFUSED);
     }
 
+    @Test
+    void lateRenewalOfALapsedRightDoesNotBringANewOneWhileItTakesOver() {
+        assertThat(ask("s-1", true, 1)).isEqualTo(Verdict.GRANTED);
+        assertThat(ask("s-1", false, 2)).isEqualTo(Verdict.REFUSED);
+    }
+
     @Test
     void grantsNothingWithoutAQuorumOrAfterItsLease() {
         long over = FloorTiming.LEASE_DURATION.toNanos();
