Claims: a VM that only the list has named is not lost when it is heard of

Cause: the platform's list may name VMs whose incarnation nobody knows yet; their first word looked like a restart, so that more than three counted as lost and a fleet that starts one VM after another was not ready for a window. Ruled out: processor time; all VMs had their tickets within seconds. Conclusion: two tests; the start of 36 daemons still to be shown.

--- a/bin/lib/fleet.sh
+++ b/bin/lib/fleet.sh
@@ -5,6 +5,8 @@
 OPERATOR_PORT=18091
 PLATFORM_PORT=18070
 BACKEND_ADMIN_PORT=18071
+# Daemons started at once; more would only wait for the processor.
+START_BATCH=4
 DAEMON_JAVA_OPTIONS="${DAEMON_JAVA_OPTIONS:--Xms24m -Xmx64m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=4 -XX:ReservedCodeCacheSize=32m}"
 
 # vm_host N: the loopback address of the VM with the number N.
@@ -81,7 +83,7 @@
         echo '{"vms": ['
         for n in $(seq 1 "$count"); do
             [ "$n" -gt 1 ] && echo ','
-            printf '{"id": "vm-%s", "incarnation": 1, "dataCentre": "%s", "host": "%s", "peerPort": %s, "operatorPort": %s, "leaving": false}' \
+            printf '{"id": "vm-%s", "dataCentre": "%s", "host": "%s", "peerPort": %s, "operatorPort": %s, "leaving": false}' \
                 "$n" "$(vm_data_centre "$n" "$@")" "$(vm_host "$n")" "$PEER_PORT" "$OPERATOR_PORT"
         done
         echo ']}'
@@ -113,6 +115,9 @@
         # shellcheck disable=SC2086
         start_daemon "$n" "$(vm_data_centre "$n" $data_centres)"
         DAEMON_PIDS+=("$LAST_PID")
+        if [ $((n % START_BATCH)) = 0 ]; then
+            wait_for_http "http://$(vm_host "$n"):$OPERATOR_PORT/health"
+        fi
     done
     for n in $(seq 1 "$2"); do
         wait_for_http "http://$(vm_host "$n"):$OPERATOR_PORT/ready"
--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -48,13 +48,13 @@
     done
 }
 
-# wait_for_http URL: waits until the URL answers 200, for 60 s at most.
+# wait_for_http URL: waits until the URL answers 200, for 120 s at most.
 wait_for_http() {
     local tries=0
     until curl -fs -o /dev/null --max-time 2 "$1"; do
         tries=$((tries + 1))
-        if [ "$tries" -gt 600 ]; then
-            echo "$1 did not answer 200 within 60 s" >&2
+        if [ "$tries" -gt 1200 ]; then
+            echo "$1 did not answer 200 within 120 s" >&2
             tail -n 20 "$RUN_DIR"/*.log >&2
             exit 1
         fi
--- a/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimHistory.java
+++ b/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimHistory.java
@@ -18,6 +18,9 @@
  * it was not a holder of before; nor, for one window, for keys whose holders were nearly all lost at once.
  */
 public final class ClaimHistory {
+    /** The incarnation of a VM that only the platform's list has named so far. */
+    private static final long INCARNATION_UNKNOWN = 0;
+
     private final String self;
     private final long startNanos;
     private final Map<String, Vm> listed = new HashMap<>();
@@ -153,8 +156,13 @@
 
     private static boolean isLost(Vm before, Map<String, Vm> now) {
         Vm after = now.get(before.id());
-        boolean gone = after == null || after.incarnation() != before.incarnation();
-        return gone && !before.leaving();
+        if (before.leaving()) {
+            return false;
+        }
+        if (after == null) {
+            return true;
+        }
+        return before.incarnation() != INCARNATION_UNKNOWN && after.incarnation() != before.incarnation();
     }
 
     private static List<Vm> list(FleetView view) {
--- a/coppershelf/src/test/java/io/coppershelf/claim/internal/ClaimHistoryTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/claim/internal/ClaimHistoryTest.java
@@ -69,6 +69,25 @@
         assertThat(history.isComplete(SETTLED)).isTrue();
     }
 
+    @Test
+    void vmThatOnlyTheListHasNamedIsNotLostWhenItIsHeardOf() {
+        IntStream.range(0, 9).mapToObj(i -> FakeFleetView.vm("vm" + i, 0)).forEach(list::add);
+        ClaimHistory history = new ClaimHistory(view(), 0);
+        list.replaceAll(vm -> vm.equals(SELF) ? SELF : FakeFleetView.vm(vm.id(), 100_000));
+        history.onFleet(view(), 1);
+        assertThat(history.lost(2)).isEmpty();
+        assertThat(history.isComplete(2 * SETTLED)).isTrue();
+    }
+
+    @Test
+    void vmThatOnlyTheListHasNamedIsLostWhenItLeavesTheList() {
+        list.add(FakeFleetView.vm("vm0", 0));
+        ClaimHistory history = new ClaimHistory(view(), 0);
+        list.remove(1);
+        history.onFleet(view(), 1);
+        assertThat(history.lost(2)).containsExactly("vm0");
+    }
+
     @Test
     void learnsOfElderVmsLater() {
         ClaimHistory history = startAmong(0);
