--- a/coppershelf/src/main/java/io/coppershelf/operator/internal/ProcessMetrics.java
+++ b/coppershelf/src/main/java/io/coppershelf/operator/internal/ProcessMetrics.java
@@ -14,7 +14,22 @@
     private ProcessMetrics() {}
 
     static void register(PrometheusRegistry registry) {
-        MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
+        registerHeap(registry, ManagementFactory.getMemoryMXBean());
+        GaugeWithCallback.builder()
+                .name("jvm_threads")
+                .help("Live threads.")
+                .callback(
+                        gauge -> gauge.call(ManagementFactory.getThreadMXBean().getThreadCount()))
+                .register(registry);
+        CounterWithCallback.builder()
+                .name("process_cpu_seconds_total")
+                .help("CPU time used by the process.")
+                .unit(Unit.SECONDS)
+                .callback(counter -> counter.call(cpuSeconds()))
+                .register(registry);
+    }
+
+    private static void registerHeap(PrometheusRegistry registry, MemoryMXBean memory) {
         GaugeWithCallback.builder()
                 .name("jvm_heap_used_bytes")
                 .help("Bytes of heap in use.")
@@ -29,18 +44,6 @@
                 .callback(
                         gauge -> gauge.call((double) memory.getHeapMemoryUsage().getMax()))
                 .register(registry);
-        GaugeWithCallback.builder()
-                .name("jvm_threads")
-                .help("Live threads.")
-                .callback(
-                        gauge -> gauge.call(ManagementFactory.getThreadMXBean().getThreadCount()))
-                .register(registry);
-        CounterWithCallback.builder()
-                .name("process_cpu_seconds_total")
-                .help("CPU time used by the process.")
-                .unit(Unit.SECONDS)
-                .callback(counter -> counter.call(cpuSeconds()))
-                .register(registry);
     }
 
     private static double cpuSeconds() {
