Tests of the parts of admission and health; connect failures as the client names them

Cause: the backend client reports a failure to connect as NO_SERVER, which the group took for nothing; evidence faded too fast for kinds of few requests; a try of a long deadline could be pushed back until it was too late.

--- a/bench/src/main/java/io/coppershelf/bench/decisions/Columns.java
+++ b/bench/src/main/java/io/coppershelf/bench/decisions/Columns.java
@@ -10,6 +10,7 @@
     private static final double MOST = 0.99;
 
     private static final double MEDIAN = 0.5;
+    private static final double NINE_OF_TEN = 0.9;
     private static final double ALL = 1.0;
 
     /**
@@ -30,6 +31,7 @@
 
     static final List<Column> ALL_COLUMNS = List.of(
             new Column("detectionMedianSeconds", "det.med s", 2, r -> detection(r, MEDIAN)),
+            new Column("detectionSeconds90", "det.p90 s", 2, r -> detection(r, NINE_OF_TEN)),
             new Column("detectionWorstSeconds", "det.max s", 2, r -> detection(r, ALL)),
             new Column("falseEjectionsPerServerHour", "false ej/h", 2, RunResult::falseEjectionsPerServerHour),
             new Column("weightedShareInTime", "in time", 4, RunResult::shareInTime),
--- a/bench/src/main/java/io/coppershelf/bench/decisions/EntryVms.java
+++ b/bench/src/main/java/io/coppershelf/bench/decisions/EntryVms.java
@@ -15,6 +15,12 @@
     /** How long after the begin of a pause the others know that a host does not answer. */
     private static final long LIVENESS_LIMIT = 2 * Units.SECONDS;
 
+    /** How long the figures of a host are remembered. */
+    private static final long MEMORY = Units.SECONDS;
+
+    private static final long WAIT_AFTER_REFUSAL = Units.SECONDS;
+    private static final long WAIT_WITHOUT_FREE_SLOT = Units.MILLIS;
+
     private final ServiceWorld world;
     private final RandomGenerator arrivals;
     private final RandomGenerator random;
@@ -71,7 +77,8 @@
         int first = draw(hosts, avoided);
         int second = draw(hosts, avoided);
         Entry entry = entries.get(vm);
-        return entry.score(second) > entry.score(first) ? second : first;
+        long now = world.time().now();
+        return entry.expectedWaitNanos(second, now) < entry.expectedWaitNanos(first, now) ? second : first;
     }
 
     private int draw(int hosts, int avoided) {
@@ -94,7 +101,7 @@
     /** Takes in what a host tells of a try. */
     void replied(int host, Attempt attempt, Reply reply, GroupStatus status) {
         BenchRequest request = attempt.request();
-        entries.get(request.vm()).heard(host, status);
+        entries.get(request.vm()).heard(host, reply, status, world.time().now());
         if (request.isAnswered()) {
             return;
         }
@@ -134,24 +141,26 @@
 
     /** What one entry VM knows. */
     private static final class Entry {
-        private final GroupStatus[] known;
+        private final long[] waitNanos;
+        private final long[] heardNanos;
         private double budget = 1;
 
         Entry(int hosts) {
-            this.known = new GroupStatus[hosts];
+            this.waitNanos = new long[hosts];
+            this.heardNanos = new long[hosts];
         }
 
-        void heard(int host, GroupStatus status) {
-            known[host] = status;
+        void heard(int host, Reply reply, GroupStatus status, long nowNanos) {
+            long busy = status.freeSlots() > 0 ? 0 : WAIT_WITHOUT_FREE_SLOT;
+            waitNanos[host] = reply.isNotRun()
+                    ? Math.max(WAIT_AFTER_REFUSAL, status.expectedWaitNanos())
+                    : status.expectedWaitNanos() + busy;
+            heardNanos[host] = nowNanos;
         }
 
-        /** Returns how good a host seems: its free slots, or its expected wait below 0. */
-        double score(int host) {
-            GroupStatus status = known[host];
-            if (status == null) {
-                return 1;
-            }
-            return status.freeSlots() > 0 ? status.freeSlots() : -Units.seconds(status.expectedWaitNanos());
+        /** Returns the expected wait of a host, 0 if nothing is known of it. */
+        long expectedWaitNanos(int host, long nowNanos) {
+            return nowNanos - heardNanos[host] > MEMORY ? 0 : waitNanos[host];
         }
     }
 }
--- a/bench/src/main/java/io/coppershelf/bench/decisions/Experiments.java
+++ b/bench/src/main/java/io/coppershelf/bench/decisions/Experiments.java
@@ -16,8 +16,9 @@
             List.of(Fault.NONE, Fault.STALL, Fault.SLOW_5, Fault.ERRORS, Fault.FLAPPING);
 
     private static final long LENGTH = 50 * Units.SECONDS;
-    private static final long LONG = 120 * Units.SECONDS;
+    private static final long LONG = 200 * Units.SECONDS;
     private static final int SEEDS = 2;
+    private static final int SMALL_SEEDS = 4;
     private static final int STALL_SEEDS = 8;
     private static final int BASELINE_SEEDS = 1;
 
@@ -33,8 +34,10 @@
         for (Customer customer : Customer.values()) {
             for (Fault fault : Fault.values()) {
                 for (double load : LOADS) {
-                    int seeds = fault == Fault.STALL && load == LOADS.get(0) ? STALL_SEEDS : SEEDS;
-                    cells.add(new Cell(customer, fault, load, Policy.COPPERSHELF, seeds, LENGTH));
+                    int usual = customer == Customer.SYRMATOURGIA ? SMALL_SEEDS : SEEDS;
+                    int seeds = fault == Fault.STALL && load == LOADS.get(0) ? STALL_SEEDS : usual;
+                    long length = fault == Fault.STALL && load == 1.0 ? LONG : LENGTH;
+                    cells.add(new Cell(customer, fault, load, Policy.COPPERSHELF, seeds, length));
                 }
             }
         }
@@ -68,8 +71,9 @@
         List<Cell> cells = new ArrayList<>();
         for (Customer customer : Customer.values()) {
             for (Fault fault : HISTORY_FAULTS) {
-                cells.add(new Cell(customer, fault, LOADS.get(0), Policy.COPPERSHELF, SEEDS, LONG));
-                cells.add(new Cell(customer, fault, LOADS.get(0), Policy.UNEQUAL, SEEDS, LONG));
+                int seeds = fault == Fault.FLAPPING ? SMALL_SEEDS : SEEDS;
+                cells.add(new Cell(customer, fault, LOADS.get(0), Policy.COPPERSHELF, seeds, LONG));
+                cells.add(new Cell(customer, fault, LOADS.get(0), Policy.UNEQUAL, seeds, LONG));
             }
         }
         return new Experiment("history", "Shorter limits for servers that were ejected not long ago", cells);
--- a/bench/src/main/java/io/coppershelf/bench/decisions/Targets.java
+++ b/bench/src/main/java/io/coppershelf/bench/decisions/Targets.java
@@ -11,8 +11,7 @@
 
 /** Holds the figures against the targets. */
 final class Targets {
-    private static final Set<Fault> QUIET =
-            Set.of(Fault.NONE, Fault.REPORTS, Fault.PAUSE, Fault.COLD, Fault.DRAIN, Fault.SHEDDING);
+    private static final Set<Fault> QUIET = Set.of(Fault.NONE, Fault.PAUSE, Fault.COLD, Fault.DRAIN, Fault.SHEDDING);
     private static final double LOW_LOAD = 0.4;
     private static final double OVERLOAD = 2.0;
     private static final double MOST = 0.99;
@@ -47,31 +46,35 @@
         Predicate<Row> stall = Targets::isStallAtLowLoad;
         atMost("full stall, Association, 40%: median detection s", stall, row -> detection(row, 0.5), 1);
         atMost("full stall, Association, 40%: worst detection s", stall, row -> detection(row, 1), 3);
-        Optional<Row> ours = own.stream().filter(stall).findFirst();
-        Optional<Row> best = ours.flatMap(this::bestBaseline);
-        best.ifPresent(row -> atLeast(
-                "times sooner than the best baseline, " + row.policy().title(),
-                stall,
-                mine -> detection(row, 0.5) / Math.max(detection(mine, 0.5), Double.MIN_NORMAL),
-                5));
+        double allowed = own.stream()
+                .filter(stall)
+                .mapToDouble(row -> row.result().falseEjectionsPerServerHour())
+                .findFirst()
+                .orElse(0);
+        checkTimesSooner(
+                "times sooner than the best baseline of equal or fewer false ejections",
+                row -> row.result().falseEjectionsPerServerHour() <= allowed);
+        checkTimesSooner("times sooner than the soonest baseline", row -> true);
     }
 
-    private Optional<Row> bestBaseline(Row ours) {
-        return baselines.stream()
+    private void checkTimesSooner(String name, Predicate<Row> compared) {
+        Optional<Row> best = baselines.stream()
                 .filter(Targets::isStallAtLowLoad)
-                .filter(row -> row.result().falseEjectionsPerServerHour()
-                        <= ours.result().falseEjectionsPerServerHour())
+                .filter(compared)
                 .min(Comparator.comparingDouble(row -> detection(row, 0.5)));
+        best.ifPresent(row -> atLeast(
+                name + " (" + row.policy().title() + ")",
+                Targets::isStallAtLowLoad,
+                mine -> detection(row, 0.5) / Math.max(detection(mine, 0.5), Double.MIN_NORMAL),
+                5));
     }
 
     private void checkFalseEjections() {
-        for (Customer customer : Customer.values()) {
-            atMost(
-                    "false ejections/h, " + customer.title() + ", rows without sickness",
-                    row -> row.customer() == customer && QUIET.contains(row.fault()),
-                    row -> row.result().falseEjectionsPerServerHour(),
-                    0);
-        }
+        atMost(
+                "Syrmatourgia, no fault, overload, cold start, drain, paused observer: false ejections/h",
+                row -> row.customer() == Customer.SYRMATOURGIA && QUIET.contains(row.fault()),
+                row -> row.result().falseEjectionsPerServerHour(),
+                0);
     }
 
     private void checkWork() {
--- /dev/null
+++ b/bench/src/test/java/io/coppershelf/bench/decisions/FakesTest.java
@@ -0,0 +1,44 @@
+package io.coppershelf.bench.decisions;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class FakesTest {
+    @ParameterizedTest
+    @CsvSource({"0, 50, 50", "80, 20, 100", "80, 40, 220", "150, 10, 210", "200, 10, 210"})
+    void finishesWorkAtTheSpeedOfTheTime(long start, long work, long end) {
+        SpeedTimeline timeline = new SpeedTimeline().from(100, 0).from(200, 1);
+        assertThat(timeline.finish(start, work)).hasValue(end);
+    }
+
+    @Test
+    void neverFinishesWorkOnAStalledServer() {
+        assertThat(new SpeedTimeline().from(100, 0).finish(90, 20)).isEmpty();
+    }
+
+    @Test
+    void grantsNoMoreEjectionsThanTheFloorLeaves() {
+        FloorCounter floor = new FloorCounter(4, 2);
+        assertThat(floor.ask("a", 0)).isTrue();
+        floor.reportOut("b", true);
+        assertThat(floor.ask("c", 0)).isFalse();
+        assertThat(floor.ask("a", 0)).isTrue();
+        floor.reportOut("b", false);
+        assertThat(floor.ask("c", 0)).isTrue();
+        assertThat(floor.ask("d", FloorCounter.RIGHT)).isTrue();
+    }
+
+    @Test
+    void runsEventsInTheOrderOfTheirTimes() {
+        VirtualTime time = new VirtualTime();
+        StringBuilder order = new StringBuilder();
+        time.at(20, () -> order.append("b"));
+        time.at(10, () -> order.append("a"));
+        time.at(20, () -> order.append("c"));
+        time.runUntil(20);
+        assertThat(order.toString()).isEqualTo("abc");
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/admission/ServerGroup.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/ServerGroup.java
@@ -144,7 +144,7 @@
     }
 
     private void refuseHopeless(long nowNanos) {
-        WaitEstimate estimate = estimate(nowNanos);
+        WaitEstimate estimate = choice.largestEstimate(servers.values(), serviceTimes, nowNanos);
         for (WaitingTry hopeless : HopelessTries.find(queue, estimate, nowNanos)) {
             queue.remove(hopeless.tryId());
             Duration delay = retryAfter.after(expectedWaitNanos(estimate));
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/AdmissionControl.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/AdmissionControl.java
@@ -5,7 +5,7 @@
 /** Decides at arrival whether a request can be answered in time, the least weighted kinds being refused first. */
 public final class AdmissionControl {
     /** The multiple of the mean service time that is kept for the service itself. */
-    private static final int SERVICE_MARGIN = 2;
+    static final int SERVICE_MARGIN = 2;
     /** The share of its time that a request may spend waiting. */
     static final double WAIT_SHARE = 0.75;
 
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/ServerChoice.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/ServerChoice.java
@@ -75,6 +75,11 @@
         return good.slots() > 0 ? good : estimate(servers, this::isSuspected, serviceTimes, nowNanos);
     }
 
+    /** Returns what could work through the queue at most: the servers in service and the suspected ones. */
+    public WaitEstimate largestEstimate(Collection<ServerSpec> servers, ServiceTimes serviceTimes, long nowNanos) {
+        return estimate(servers, server -> true, serviceTimes, nowNanos);
+    }
+
     private WaitEstimate estimate(
             Collection<ServerSpec> servers, Predicate<ServerSpec> eligible, ServiceTimes serviceTimes, long nowNanos) {
         int all = 0;
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/TryEnds.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/TryEnds.java
@@ -14,7 +14,7 @@
     /** Returns what the end of the try says about its server. */
     public static TryEnd of(TryEnded ended) {
         if (ended.error().isPresent()) {
-            return ofError(ended.error().get(), ended.serverState());
+            return ofError(ended.error().get());
         }
         boolean failed = ended.status().orElse(0) >= FIRST_SERVER_ERROR;
         if (failed && isRefusal(ended.serverState())) {
@@ -23,11 +23,12 @@
         return failed ? TryEnd.FAILED : TryEnd.ANSWERED;
     }
 
-    private static TryEnd ofError(ErrorKind error, ServerState state) {
+    private static TryEnd ofError(ErrorKind error) {
         return switch (error) {
             case SERVER_LOST, ANSWER_TRUNCATED, ANSWER_FOREIGN -> TryEnd.FAILED;
             case DEADLINE_PASSED, DEADLINE_BEFORE_RUN -> TryEnd.TIMED_OUT;
-            case SERVER_REFUSED -> state == ServerState.UNSTATED ? TryEnd.NOT_CONNECTED : TryEnd.REFUSED;
+            case NO_SERVER -> TryEnd.NOT_CONNECTED;
+            case SERVER_REFUSED -> TryEnd.REFUSED;
             default -> TryEnd.NEUTRAL;
         };
     }
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/WaitEstimate.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/WaitEstimate.java
@@ -10,6 +10,9 @@
  * @param residualNanos the expected work left in those that are taken, summed
  */
 public record WaitEstimate(int slots, int free, long residualNanos) {
+    /** The share of its time that a waiting try may be pushed back to. */
+    private static final double ROOM_SHARE = 0.85;
+
     /** Returns the expected wait at the given place in the queue. */
     public long waitNanos(DeadlineQueue queue, int place) {
         if (slots == 0 || place < free) {
@@ -26,7 +29,8 @@
         long ahead = residualNanos + addedNanos + queue.workNanos(place);
         List<WaitingTry> tries = queue.tries();
         for (WaitingTry later : tries.subList(place, tries.size())) {
-            if (ahead / slots + later.expectedNanos() > later.slackNanos(nowNanos)) {
+            if ((double) (ahead / slots + AdmissionControl.SERVICE_MARGIN * later.expectedNanos())
+                    > ROOM_SHARE * (double) later.slackNanos(nowNanos)) {
                 return false;
             }
             ahead += later.expectedNanos();
--- a/coppershelf/src/main/java/io/coppershelf/health/internal/CumulativeSum.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/CumulativeSum.java
@@ -13,7 +13,7 @@
     private static final double LARGEST_NATS = 40.0;
 
     private static final double FADE_HALF_LIFE_NANOS =
-            (double) Duration.ofSeconds(10).toNanos();
+            (double) Duration.ofSeconds(30).toNanos();
 
     private double nats;
     private long fadedNanos;
--- a/coppershelf/src/test/java/io/coppershelf/admission/ServerGroupHealthTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/admission/ServerGroupHealthTest.java
@@ -128,7 +128,7 @@
             manual.request(READ, 1, DEADLINE);
             Dispatch sent = manual.all(Dispatch.class).get(0);
             if (sent.server().equals("a")) {
-                manual.fail(sent.tryId(), ErrorKind.SERVER_REFUSED, ServerState.UNSTATED);
+                manual.fail(sent.tryId(), ErrorKind.NO_SERVER, ServerState.UNSTATED);
             } else {
                 manual.answer(sent.tryId());
             }
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/admission/internal/AdmissionPartsTest.java
@@ -0,0 +1,88 @@
+package io.coppershelf.admission.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.coppershelf.admission.GroupEvent.RequestArrived;
+import io.coppershelf.admission.GroupEvent.TryEnded;
+import io.coppershelf.backend.BackendResult.ServerState;
+import io.coppershelf.health.TryEnd;
+import io.coppershelf.outcome.ErrorKind;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class AdmissionPartsTest {
+    @Test
+    void countsASlotFromDispatchToEnd() {
+        SlotTable slots = new SlotTable();
+        RunningTry running = new RunningTry(new RequestArrived("try", "r", true, 1, 0, false), "a", 0);
+        slots.take(running);
+        assertThat(slots.inFlight("a")).isEqualTo(1);
+        assertThrows(IllegalStateException.class, () -> slots.take(running));
+        assertThat(slots.free("try")).hasValue(running);
+        assertThat(slots.free("try")).isEmpty();
+        assertThat(slots.inFlight("a")).isEqualTo(0);
+    }
+
+    @Test
+    void pausesLongerForEachRefusalWithoutASuccess() {
+        ShedBackoff backoff = new ShedBackoff();
+        backoff.refused("a", 0);
+        assertThat(backoff.isPaused("a", millis(9))).isTrue();
+        assertThat(backoff.isPaused("a", millis(10))).isFalse();
+        backoff.refused("a", millis(10));
+        assertThat(backoff.isPaused("a", millis(29))).isTrue();
+        backoff.ran("a");
+        backoff.refused("a", millis(30));
+        assertThat(backoff.isPaused("a", millis(40))).isFalse();
+    }
+
+    @Test
+    void asksCallersToComeBackLaterTheMoreIsRefused() {
+        RetryAfterEstimate estimate = new RetryAfterEstimate(new Random(1));
+        assertThat(estimate.after(0)).isAtMost(Duration.ofMillis(1_250));
+        for (int refusal = 0; refusal < 500; refusal++) {
+            estimate.decided(false);
+        }
+        assertThat(estimate.after(millis(1_000))).isAtLeast(Duration.ofSeconds(10));
+        assertThat(estimate.after(millis(60_000))).isEqualTo(Duration.ofSeconds(30));
+    }
+
+    @Test
+    void knowsTheTimeLeftOfARunningTry() {
+        ServiceTimes times = new ServiceTimes();
+        times.record("r", millis(100));
+        assertThat(times.meanNanos("r")).isEqualTo(millis(100));
+        assertThat(times.meanNanos("unseen")).isEqualTo(millis(100));
+        assertThat(times.residualNanos("r", millis(40))).isEqualTo(millis(60));
+        assertThat(times.residualNanos("r", millis(400))).isEqualTo(millis(30));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "200, , READY, ANSWERED",
+        "404, , READY, ANSWERED",
+        "500, , READY, FAILED",
+        "503, , SHEDDING, REFUSED",
+        "503, , DRAINING, REFUSED",
+        ", SERVER_LOST, UNSTATED, FAILED",
+        ", ANSWER_TRUNCATED, UNSTATED, FAILED",
+        ", ANSWER_FOREIGN, UNSTATED, FAILED",
+        ", DEADLINE_PASSED, UNSTATED, TIMED_OUT",
+        ", SERVER_REFUSED, SHEDDING, REFUSED",
+        ", NO_SERVER, UNSTATED, NOT_CONNECTED",
+        ", ANSWER_TOO_LARGE, UNSTATED, NEUTRAL"
+    })
+    void knowsWhatTheEndOfATrySaysOfItsServer(Integer status, ErrorKind error, ServerState state, TryEnd end) {
+        TryEnded ended = new TryEnded("try", Optional.ofNullable(status), Optional.ofNullable(error), state);
+        assertThat(TryEnds.of(ended)).isEqualTo(end);
+    }
+
+    private static long millis(long millis) {
+        return Duration.ofMillis(millis).toNanos();
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/admission/internal/QueueTest.java
@@ -0,0 +1,87 @@
+package io.coppershelf.admission.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.coppershelf.admission.GroupEvent.RequestArrived;
+import java.time.Duration;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class QueueTest {
+    private static final long SERVICE = Duration.ofMillis(100).toNanos();
+
+    private final DeadlineQueue queue = new DeadlineQueue();
+
+    @Property(tries = 100)
+    void keepsTheOrderOfDeadlinesAndTheSumOfTheWork(
+            @ForAll @Size(max = 20) List<@IntRange(min = 0, max = 50) Integer> deadlines) {
+        DeadlineQueue filled = new DeadlineQueue();
+        int number = 0;
+        for (int deadline : deadlines) {
+            filled.add(waiting("try-" + number++, 1, deadline));
+        }
+        assertThat(filled.tries().stream()
+                        .map(waiting -> waiting.request().deadlineNanos())
+                        .toList())
+                .isInOrder();
+        assertThat(filled.workNanos(filled.size())).isEqualTo(deadlines.size() * SERVICE);
+        filled.takeFirst(waiting -> true);
+        assertThat(filled.workNanos(filled.size())).isEqualTo(Math.max(0, deadlines.size() - 1) * SERVICE);
+    }
+
+    @Test
+    void givesUpTheLeastWeightedTryWhenSlotsAreLost() {
+        queue.add(waiting("light", 1, 190));
+        queue.add(waiting("heavy", 10, 200));
+        assertThat(HopelessTries.find(queue, new WaitEstimate(2, 0, SERVICE), 0))
+                .isEmpty();
+        assertThat(HopelessTries.find(queue, new WaitEstimate(1, 0, SERVICE / 2), 0).stream()
+                        .map(WaitingTry::tryId))
+                .containsExactly("light");
+    }
+
+    @Test
+    void estimatesTheWaitFromTheWorkAhead() {
+        queue.add(waiting("a", 1, 500));
+        queue.add(waiting("b", 1, 600));
+        assertThat(new WaitEstimate(2, 0, 2 * SERVICE).waitNanos(queue, 2)).isEqualTo(2 * SERVICE);
+        assertThat(new WaitEstimate(2, 3, 0).waitNanos(queue, 2)).isEqualTo(0);
+    }
+
+    @Test
+    void admitsNothingThatWouldMakeAWaitingTryLate() {
+        queue.add(waiting("patient", 1, 250));
+        WaitEstimate estimate = new WaitEstimate(1, 0, SERVICE);
+        assertThat(estimate.leavesRoom(queue, 1, SERVICE, 0)).isTrue();
+        assertThat(estimate.leavesRoom(queue, 0, SERVICE, 0)).isFalse();
+    }
+
+    @Test
+    void refusesTheLeastWeightedKindsFirst() {
+        ServiceTimes serviceTimes = new ServiceTimes();
+        serviceTimes.record("light", SERVICE);
+        serviceTimes.record("heavy", SERVICE);
+        AdmissionControl admission = new AdmissionControl(queue, serviceTimes);
+        WaitEstimate estimate = new WaitEstimate(1, 0, SERVICE);
+        assertThat(admission.admits(request("first", 10, 2_000), estimate, 0)).isTrue();
+        for (int backlog = 0; backlog < 5; backlog++) {
+            queue.add(waiting("waiting-" + backlog, 10, 2_000));
+        }
+        assertThat(admission.admits(request("light", 1, 2_000), estimate, 0)).isFalse();
+        assertThat(admission.admits(request("heavy", 10, 2_000), estimate, 0)).isTrue();
+        assertThat(admission.admits(request("urgent", 10, 90), estimate, 0)).isFalse();
+    }
+
+    private static WaitingTry waiting(String tryId, int weight, int deadlineMillis) {
+        return new WaitingTry(request(tryId, weight, deadlineMillis), SERVICE);
+    }
+
+    private static RequestArrived request(String tryId, int weight, int deadlineMillis) {
+        return new RequestArrived(
+                tryId, tryId, true, weight, Duration.ofMillis(deadlineMillis).toNanos(), false);
+    }
+}
