--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/peer/PeerPart.java
@@ -0,0 +1,52 @@
+package io.coppershelf.peer;
+
+import com.google.common.flogger.FluentLogger;
+import io.coppershelf.kernel.Part;
+import io.coppershelf.kernel.ServiceRegistry;
+import io.coppershelf.membership.FleetView;
+import io.coppershelf.operator.HybridClock;
+import io.coppershelf.operator.OperatorDesk;
+import io.coppershelf.peer.internal.NioPeerExchange;
+import io.coppershelf.settings.Settings;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * The part of the daemon that talks to peers. The settings, the fleet view and the operator desk must be registered
+ * before {@link #register} is called on this part, and so must a {@link LinkFilter} where a test wants one.
+ */
+public final class PeerPart implements Part {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private Optional<NioPeerExchange> exchange = Optional.empty();
+
+    @Override
+    public String name() {
+        return "peer";
+    }
+
+    @Override
+    public void register(ServiceRegistry registry) {
+        NioPeerExchange created = new NioPeerExchange(
+                registry.require(FleetView.Source.NAME),
+                registry.find(LinkFilter.NAME).orElse(LinkFilter.ALL),
+                registry.require(OperatorDesk.NAME).metrics(),
+                registry.require(Settings.NAME).trafficThreads());
+        exchange = Optional.of(created);
+        registry.register(PeerExchange.NAME, created);
+    }
+
+    @Override
+    public void start(ServiceRegistry registry) {
+        Settings settings = registry.require(Settings.NAME);
+        registry.find(HybridClock.NAME).ifPresent(exchange.orElseThrow()::useClock);
+        int port = exchange.orElseThrow().listen(settings.host(), settings.peerPort());
+        logger.atInfo().log("[peer] Listening on %s:%d.", settings.host(), port);
+    }
+
+    @Override
+    public void stop(Duration limit) {
+        exchange.ifPresent(NioPeerExchange::close);
+        logger.atInfo().log("[peer] Closed all connections.");
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/routing/internal/ServicePolicies.java
@@ -0,0 +1,68 @@
+package io.coppershelf.routing.internal;
+
+import io.coppershelf.admission.GroupName;
+import io.coppershelf.admission.OwnerLookup;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+
+/** Makes the try policy of each service from the configuration and the fleet in force. */
+final class ServicePolicies {
+    private final ServiceGroups groups;
+    private final OwnerLookup lookup;
+    private final KnownLoads loads;
+    private final GroupChoice choice;
+    private final ConcurrentMap<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+    ServicePolicies(ServiceGroups groups, OwnerLookup lookup, KnownLoads loads, GroupChoice choice) {
+        this.groups = groups;
+        this.lookup = lookup;
+        this.loads = loads;
+        this.choice = choice;
+    }
+
+    /** Counts a first try of the service and returns the policy for its further tries. */
+    TryPolicy firstTry(String service, long nowNanos) {
+        RetryBudget budget = budgets.computeIfAbsent(service, key -> new RetryBudget());
+        synchronized (budget) {
+            budget.recordFirstTry();
+        }
+        return new ServicePolicy(service, budget, nowNanos);
+    }
+
+    private final class ServicePolicy implements TryPolicy {
+        private final String service;
+        private final RetryBudget budget;
+        private final long nowNanos;
+
+        ServicePolicy(String service, RetryBudget budget, long nowNanos) {
+            this.service = service;
+            this.budget = budget;
+            this.nowNanos = nowNanos;
+        }
+
+        @Override
+        public Optional<GroupName> choose(Set<GroupName> excluded) {
+            List<GroupName> candidates = groups.of(service).stream()
+                    .filter(group -> !excluded.contains(group))
+                    .toList();
+            synchronized (choice) {
+                return choice.choose(candidates, group -> loads.expectedWaitNanos(group, nowNanos));
+            }
+        }
+
+        @Override
+        public int candidates(GroupName group) {
+            return lookup.owners(group).size();
+        }
+
+        @Override
+        public boolean spendRetry() {
+            synchronized (budget) {
+                return budget.trySpend();
+            }
+        }
+    }
+}
