Find the incarnation of listed VMs, and stop at the first bad frame

Cause: in a trial with 8 daemons the list named incarnation 1, so other parts reached for an incarnation that does not exist (wrong_target), and the frames behind a refused hello were read as hellos. Ruled out: trusting the list's incarnation, since it lags behind the start of a VM. Change: a VM that is new by the list is entered with any incarnation until it answers; nothing is read from a connection once it is closed. Conclusion: a list without incarnations, or with old ones, does no harm.

--- a/coppershelf/src/main/java/io/coppershelf/membership/internal/MemberTable.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MemberTable.java
@@ -197,23 +197,35 @@
         return told;
     }
 
+    /** Takes one entry of the list; the incarnation of a VM that is new here is found by the first probe. */
     private void enter(Vm vm, long nowNanos, List<String> told) {
-        MemberUpdate update = new MemberUpdate(vm, 0, MemberStatus.ALIVE);
         Optional<Member> present = member(vm.id());
         if (present.isEmpty()) {
-            members.put(vm.id(), new Member(update, nowNanos));
+            members.put(vm.id(), new Member(alive(anyIncarnation(vm)), nowNanos));
             version++;
-        } else if (vm.incarnation() > present.get().update().vm().incarnation()) {
-            replace(present.get(), update, nowNanos).ifPresent(told::add);
+        } else if (isLater(vm, present.get())) {
+            replace(present.get(), alive(vm), nowNanos).ifPresent(told::add);
         }
         Member member = require(vm.id());
-        boolean isCurrent = vm.incarnation() == 0
-                || vm.incarnation() == member.update().vm().incarnation();
-        if (isCurrent) {
+        long known = member.update().vm().incarnation();
+        if (known == 0 || vm.incarnation() == 0 || vm.incarnation() == known) {
             enterCurrent(member, vm, nowNanos);
         }
     }
 
+    private static boolean isLater(Vm listed, Member member) {
+        long known = member.update().vm().incarnation();
+        return known != 0 && listed.incarnation() > known;
+    }
+
+    private static MemberUpdate alive(Vm vm) {
+        return new MemberUpdate(vm, 0, MemberStatus.ALIVE);
+    }
+
+    private static Vm anyIncarnation(Vm vm) {
+        return new Vm(vm.id(), 0, vm.dataCentre(), vm.host(), vm.peerPort(), vm.operatorPort(), false);
+    }
+
     private void enterCurrent(Member member, Vm vm, long nowNanos) {
         boolean wasGoneByList = member.isGoneByList();
         boolean wasLeaving = member.vm().leaving();
--- a/coppershelf/src/main/java/io/coppershelf/peer/internal/Connection.java
+++ b/coppershelf/src/main/java/io/coppershelf/peer/internal/Connection.java
@@ -180,6 +180,12 @@
         events.closed(this);
     }
 
+    private boolean isClosed() {
+        synchronized (queue) {
+            return isClosed;
+        }
+    }
+
     private void flush() {
         if (isConnecting()) {
             return;
@@ -231,6 +237,9 @@
         Optional<byte[]> frame = reader.next(input, events.frameLimit(this));
         while (frame.isPresent()) {
             events.received(this, frame.get());
+            if (isClosed()) {
+                return;
+            }
             frame = reader.next(input, events.frameLimit(this));
         }
     }
