Rank the VMs of the platform's list, and pass the list on between peers

Cause: quorums need the same VMs on both sides of a split, and FleetView fell back to the live ones; in a trial with 8 daemons the change from an unknown incarnation to the real one counted as the loss of a VM, so claims stayed incomplete. Ruled out: a watch of the list by every VM. Change: answers to probes tell the revision of the list, a VM with an older one fetches it; rankedByList ranks its VMs, gone and leaving ones included. The claims' history does not count a VM as lost whose incarnation was not known yet. Conclusion: both sides of a split rank the same VMs.

--- a/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimHistory.java
+++ b/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimHistory.java
@@ -153,7 +153,8 @@
 
     private static boolean isLost(Vm before, Map<String, Vm> now) {
         Vm after = now.get(before.id());
-        boolean gone = after == null || after.incarnation() != before.incarnation();
+        boolean isRestarted = after != null && before.incarnation() != 0 && after.incarnation() != before.incarnation();
+        boolean gone = after == null || isRestarted;
         return gone && !before.leaving();
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/membership/Vm.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/Vm.java
@@ -4,7 +4,8 @@
  * A VM of the fleet as its peers know it.
  *
  * @param id the name, unique over the fleet
- * @param incarnation a number that grows with each start of the daemon (wall clock milliseconds of the start)
+ * @param incarnation a number that grows with each start of the daemon (wall clock milliseconds of the start), 0 while
+ *     it is not known yet
  * @param dataCentre the data centre in which it stands
  * @param host its IP number
  * @param peerPort the TCP port for peers
--- a/coppershelf/src/main/java/io/coppershelf/membership/internal/FleetSnapshot.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/FleetSnapshot.java
@@ -27,6 +27,7 @@
     private final long[] placeableHashes;
     private final Set<String> reachable;
     private final int goneByPeers;
+    private final List<Vm> listed;
 
     /**
      * Creates a snapshot.
@@ -36,15 +37,16 @@
      * @param reachable the ids of those that answered within the liveness limit
      */
     public FleetSnapshot(Vm self, Collection<Vm> others, Set<String> reachable) {
-        this(self, others, reachable, 0);
+        this(self, others, reachable, 0, List.of());
     }
 
     /**
      * Creates a snapshot.
      *
      * @param goneByPeers the number of VMs that count as gone by the word of peers alone
+     * @param listed the VMs of the platform's list; empty if the live ones stand for it
      */
-    FleetSnapshot(Vm self, Collection<Vm> others, Set<String> reachable, int goneByPeers) {
+    FleetSnapshot(Vm self, Collection<Vm> others, Set<String> reachable, int goneByPeers, List<Vm> listed) {
         this.self = self;
         others.forEach(vm -> byId.put(vm.id(), vm));
         byId.put(self.id(), self);
@@ -53,6 +55,7 @@
         placeableHashes = placeable.stream().mapToLong(vm -> hash(vm.id())).toArray();
         this.reachable = Set.copyOf(reachable);
         this.goneByPeers = goneByPeers;
+        this.listed = listed.isEmpty() ? vms : List.copyOf(listed);
     }
 
     @Override
@@ -92,6 +95,14 @@
         return best.stream().map(Candidate::vm).toList();
     }
 
+    @Override
+    public List<Vm> rankedByList(String key, int limit) {
+        long keyHash = hash(key);
+        List<Candidate> best = new ArrayList<>();
+        listed.forEach(vm -> keepBest(best, new Candidate(vm, true, mix(keyHash ^ hash(vm.id()))), limit));
+        return best.stream().map(Candidate::vm).toList();
+    }
+
     private static void keepBest(List<Candidate> best, Candidate candidate, int limit) {
         int position = best.size();
         while (position > 0 && BEST_FIRST.compare(candidate, best.get(position - 1)) < 0) {
--- a/coppershelf/src/main/java/io/coppershelf/membership/internal/MemberTable.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MemberTable.java
@@ -22,12 +22,23 @@
     private final String self;
     private final Map<String, Member> members = new TreeMap<>();
     private long listRevision;
+    private List<Vm> list = List.of();
     private long version;
 
     MemberTable(String self) {
         this.self = self;
     }
 
+    /** Returns the revision of the platform's list in force, 0 if there is none. */
+    long listRevision() {
+        return listRevision;
+    }
+
+    /** Returns the platform's list in force. */
+    List<Vm> list() {
+        return list;
+    }
+
     /** Returns a number that grows with each change of what the view shows. */
     long version() {
         return version;
@@ -106,7 +117,24 @@
                         && !member.isGoneByList()
                         && !member.vm().leaving())
                 .count();
-        return new FleetSnapshot(selfVm, liveVms(), answering, (int) gone);
+        return new FleetSnapshot(selfVm, liveVms(), answering, (int) gone, listedVms(selfVm));
+    }
+
+    /** Returns the VMs of the list; while there is none, all that are not dropped from it. */
+    private List<Vm> listedVms(Vm selfVm) {
+        if (list.isEmpty()) {
+            return Stream.concat(
+                            Stream.of(selfVm),
+                            members.values().stream()
+                                    .filter(member -> !member.isGoneByList())
+                                    .map(Member::vm))
+                    .toList();
+        }
+        return list.stream()
+                .map(vm -> vm.id().equals(self)
+                        ? selfVm
+                        : member(vm.id()).map(Member::vm).orElse(anyIncarnation(vm)))
+                .toList();
     }
 
     /** Takes a statement; returns what to tell, perhaps an empty text, if it is news. */
@@ -116,7 +144,8 @@
         if (present.isEmpty()) {
             members.put(id, new Member(update, nowNanos));
             version++;
-            return Optional.of(update.status() == MemberStatus.GONE ? "" : "VM " + id + " joined.");
+            boolean isMet = update.status() != MemberStatus.GONE && update.vm().incarnation() != 0;
+            return Optional.of(isMet ? "VM " + id + " joined." : "");
         }
         Member member = present.get();
         boolean isLeaver = update.vm().leaving()
@@ -148,11 +177,8 @@
         if (update.status() == MemberStatus.GONE) {
             return wasGone ? "" : vm + " is gone: several VMs got no answer.";
         }
-        if (before.vm().incarnation() == 0) {
-            return vm + " joined.";
-        }
         if (before.vm().incarnation() != update.vm().incarnation()) {
-            return vm + " has restarted.";
+            return vm + (before.vm().incarnation() == 0 ? " joined." : " has restarted.");
         }
         return wasGone ? vm + " is back." : "";
     }
@@ -183,14 +209,16 @@
      *
      * @return what to tell
      */
-    List<String> listed(Listed list, long nowNanos) {
+    List<String> listed(Listed fresher, long nowNanos) {
         List<String> told = new ArrayList<>();
-        if (list.revision() <= listRevision) {
+        if (fresher.revision() <= listRevision) {
             return told;
         }
-        listRevision = list.revision();
-        list.vms().stream().filter(vm -> !vm.id().equals(self)).forEach(vm -> enter(vm, nowNanos, told));
-        Set<String> ids = list.vms().stream().map(Vm::id).collect(Collectors.toCollection(HashSet::new));
+        listRevision = fresher.revision();
+        list = fresher.vms();
+        version++;
+        list.stream().filter(vm -> !vm.id().equals(self)).forEach(vm -> enter(vm, nowNanos, told));
+        Set<String> ids = list.stream().map(Vm::id).collect(Collectors.toCollection(HashSet::new));
         if (ids.contains(self)) {
             removeUnlisted(ids, nowNanos, told);
         }
--- a/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipAction.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipAction.java
@@ -13,6 +13,9 @@
     /** Ask the VM for all that it knows. */
     record Pull(Vm target) implements MembershipAction {}
 
+    /** Ask the VM for the platform's list, of which it has a fresher revision. */
+    record PullList(Vm target) implements MembershipAction {}
+
     /** Ask the seeds of the settings for all that they know. */
     record Join() implements MembershipAction {}
 
--- a/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipDecisions.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipDecisions.java
@@ -44,6 +44,7 @@
     private static final long JUDGEMENT_DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long SHORTEST_PULL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final long PULL_NANOS_PER_MEMBER = TimeUnit.MILLISECONDS.toNanos(250);
+    private static final long LIST_PULL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final int WITNESSES = 3;
     private static final int TOLD_OF_LEAVING = 64;
 
@@ -61,6 +62,7 @@
     private long lastRevivalNanos;
     private long lastJoinNanos;
     private long lastPullNanos;
+    private long lastListPullNanos;
 
     /**
      * Creates the decisions of a VM that knows of no other.
@@ -81,6 +83,7 @@
         lastRevivalNanos = nowNanos;
         lastJoinNanos = nowNanos - JOIN_INTERVAL_NANOS;
         lastPullNanos = nowNanos;
+        lastListPullNanos = nowNanos - LIST_PULL_INTERVAL_NANOS;
     }
 
     /** Returns what this VM says of itself. */
@@ -115,6 +118,16 @@
         return table.digest() ^ self.hash();
     }
 
+    /** Returns the revision of the platform's list in force, 0 if there is none. */
+    long listRevision() {
+        return table.listRevision();
+    }
+
+    /** Returns the platform's list in force. */
+    List<Vm> list() {
+        return table.list();
+    }
+
     /** Returns the snapshot to publish. */
     FleetSnapshot view() {
         return table.view(self.vm());
@@ -215,6 +228,11 @@
             lastPullNanos = nowNanos;
             actions.add(new Pull(answerer.vm()));
         }
+        boolean isListFresher = event.listRevision() > table.listRevision() && isLive(answerer.vm());
+        if (isListFresher && nowNanos - lastListPullNanos >= LIST_PULL_INTERVAL_NANOS) {
+            lastListPullNanos = nowNanos;
+            actions.add(new MembershipAction.PullList(answerer.vm()));
+        }
     }
 
     private void failed(ProbeFailed event, long nowNanos, List<MembershipAction> actions) {
--- a/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipDriver.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipDriver.java
@@ -14,6 +14,8 @@
 import io.coppershelf.membership.internal.MembershipEvent.VerdictHeard;
 import io.coppershelf.membership.internal.MembershipMessages.JoinRequest;
 import io.coppershelf.membership.internal.MembershipMessages.LeaveMessage;
+import io.coppershelf.membership.internal.MembershipMessages.ListReply;
+import io.coppershelf.membership.internal.MembershipMessages.ListRequest;
 import io.coppershelf.membership.internal.MembershipMessages.Ping;
 import io.coppershelf.membership.internal.MembershipMessages.PingReply;
 import io.coppershelf.membership.internal.MembershipMessages.ProbeRequest;
@@ -66,6 +68,11 @@
     public void start() {
         exchange.register(MembershipMessages.PING_REPLY);
         exchange.register(MembershipMessages.PROBE_VERDICT);
+        exchange.register(MembershipMessages.LIST_REPLY);
+        exchange.register(
+                MembershipMessages.LIST_REQUEST,
+                (sender, request, replies) -> control.execute(
+                        () -> replies.reply(new ListReply(decisions.listRevision(), decisions.list()))));
         exchange.register(MembershipMessages.PING, this::pinged);
         exchange.register(MembershipMessages.JOIN_REQUEST, this::joined);
         exchange.register(MembershipMessages.PROBE_REQUEST, this::probeRequested);
@@ -104,6 +111,8 @@
             probeThrough(through);
         } else if (action instanceof MembershipAction.Pull pull) {
             pull(pull.target());
+        } else if (action instanceof MembershipAction.PullList pull) {
+            pullList(pull.target());
         } else if (action instanceof MembershipAction.Join) {
             Vm self = decisions.self().vm();
             seeds.stream()
@@ -148,11 +157,19 @@
         });
     }
 
+    private void pullList(Vm target) {
+        request(target, new ListRequest(), JOIN_TIMEOUT, reply -> {
+            if (reply instanceof PeerReply.Received received && received.message() instanceof ListReply list) {
+                on(new MembershipEvent.Listed(list.revision(), list.vms()));
+            }
+        });
+    }
+
     private boolean answered(PeerMessage message) {
         if (!(message instanceof PingReply reply)) {
             return false;
         }
-        on(new ProbeAnswered(reply.answerer(), reply.updates(), reply.digest()));
+        on(new ProbeAnswered(reply.answerer(), reply.updates(), reply.digest(), reply.listRevision()));
         return true;
     }
 
@@ -167,7 +184,7 @@
                 return;
             }
             heard(ping.sender(), ping.updates());
-            replies.reply(new PingReply(decisions.self(), decisions.gossipFor(sender), decisions.digest()));
+            replies.reply(answer(decisions.gossipFor(sender)));
         });
     }
 
@@ -177,10 +194,14 @@
                 return;
             }
             heard(request.sender(), List.of());
-            replies.reply(new PingReply(decisions.self(), decisions.everything(), decisions.digest()));
+            replies.reply(answer(decisions.everything()));
         });
     }
 
+    private PingReply answer(List<MemberUpdate> updates) {
+        return new PingReply(decisions.self(), updates, decisions.digest(), decisions.listRevision());
+    }
+
     /** Statements count only if their sender is a live VM; a new one first has to answer a probe. */
     private void heard(MemberUpdate sender, List<MemberUpdate> updates) {
         boolean isLive = decisions.isLive(sender.vm());
--- a/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipEvent.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipEvent.java
@@ -5,7 +5,7 @@
 
 /** What happens to the membership of a VM. */
 sealed interface MembershipEvent {
-    /** The platform's list was read. */
+    /** The platform's list was read, or taken from a peer. */
     record Listed(long revision, List<Vm> vms) implements MembershipEvent {}
 
     /** A VM introduced itself; it counts once it has answered a probe. */
@@ -15,7 +15,8 @@
     record UpdatesHeard(String sender, List<MemberUpdate> updates) implements MembershipEvent {}
 
     /** A VM answered a probe of this one, or its request to join. */
-    record ProbeAnswered(MemberUpdate answerer, List<MemberUpdate> updates, long digest) implements MembershipEvent {}
+    record ProbeAnswered(MemberUpdate answerer, List<MemberUpdate> updates, long digest, long listRevision)
+            implements MembershipEvent {}
 
     /** A VM did not answer a probe. */
     record ProbeFailed(Vm target, long beganNanos) implements MembershipEvent {}
--- a/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipMessages.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipMessages.java
@@ -25,11 +25,12 @@
             (reply, packer) -> {
                 reply.answerer().write(packer);
                 MessageFields.writeList(packer, reply.updates(), (p, update) -> update.write(p));
-                packer.packLong(reply.digest());
+                packer.packLong(reply.digest()).packLong(reply.listRevision());
             },
             unpacker -> new PingReply(
                     MemberUpdate.read(unpacker),
                     MessageFields.readList(unpacker, MemberUpdate::read),
+                    unpacker.unpackLong(),
                     unpacker.unpackLong()));
 
     static final PeerMessageCodec<ProbeRequest> PROBE_REQUEST = new FunctionCodec<>(
@@ -56,6 +57,18 @@
             (leave, packer) -> packer.packLong(leave.incarnation()),
             unpacker -> new LeaveMessage(unpacker.unpackLong()));
 
+    static final PeerMessageCodec<ListRequest> LIST_REQUEST =
+            new FunctionCodec<>(8, ListRequest.class, (request, packer) -> {}, unpacker -> new ListRequest());
+
+    static final PeerMessageCodec<ListReply> LIST_REPLY = new FunctionCodec<>(
+            9,
+            ListReply.class,
+            (reply, packer) -> {
+                packer.packLong(reply.revision());
+                MessageFields.writeList(packer, reply.vms(), VmFields::write);
+            },
+            unpacker -> new ListReply(unpacker.unpackLong(), MessageFields.readList(unpacker, VmFields::read)));
+
     private MembershipMessages() {}
 
     /**
@@ -72,8 +85,10 @@
      * @param answerer what the sender says of itself
      * @param updates statements that it passes on
      * @param digest a digest over its statements on live VMs
+     * @param listRevision the revision of the platform's list that it holds, 0 if none
      */
-    record PingReply(MemberUpdate answerer, List<MemberUpdate> updates, long digest) implements PeerMessage {}
+    record PingReply(MemberUpdate answerer, List<MemberUpdate> updates, long digest, long listRevision)
+            implements PeerMessage {}
 
     /** Asks the receiver to probe the target. */
     record ProbeRequest(Vm target) implements PeerMessage {}
@@ -84,6 +99,12 @@
     /** Asks for all statements of the receiver and introduces the sender. */
     record JoinRequest(MemberUpdate sender) implements PeerMessage {}
 
+    /** Asks for the platform's list as the receiver holds it. */
+    record ListRequest() implements PeerMessage {}
+
+    /** The platform's list. */
+    record ListReply(long revision, List<Vm> vms) implements PeerMessage {}
+
     /** Tells that the sender takes no new work from now on. */
     record LeaveMessage(long incarnation) implements PeerMessage {}
 }
--- a/coppershelf/src/test/java/io/coppershelf/membership/internal/FakeFleet.java
+++ b/coppershelf/src/test/java/io/coppershelf/membership/internal/FakeFleet.java
@@ -162,6 +162,12 @@
                                                 new VerdictHeard(through.target(), witness.id, reached, began)))));
             } else if (action instanceof MembershipAction.Pull pull) {
                 pull(pull.target().id());
+            } else if (action instanceof MembershipAction.PullList pull) {
+                deliver(id, pull.target().id(), peer -> {
+                    MembershipEvent list =
+                            new MembershipEvent.Listed(peer.decisions.listRevision(), peer.decisions.list());
+                    deliver(peer.id, id, asker -> asker.on(list));
+                });
             } else if (action instanceof MembershipAction.Join) {
                 pull(name(0));
             } else if (action instanceof MembershipAction.TellLeaving told) {
@@ -200,7 +206,8 @@
         }
 
         private void reply(String to, List<MemberUpdate> updates, Runnable then) {
-            ProbeAnswered answer = new ProbeAnswered(decisions.self(), new ArrayList<>(updates), decisions.digest());
+            ProbeAnswered answer = new ProbeAnswered(
+                    decisions.self(), new ArrayList<>(updates), decisions.digest(), decisions.listRevision());
             deliver(id, to, asker -> {
                 asker.on(answer);
                 then.run();
--- a/coppershelf/src/test/java/io/coppershelf/membership/internal/MembershipDecisionsTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/membership/internal/MembershipDecisionsTest.java
@@ -166,11 +166,25 @@
         fleet.list(9, rest, List.copyOf(ALL));
         assertThat(fleet.seenBy(FakeFleet.name(0))).isEqualTo(ALL);
 
-        fleet.list(11, rest, List.copyOf(ALL));
+        fleet.list(11, rest, List.of(FakeFleet.name(0)));
         fleet.run(10_000);
         assertAllSee(without(ALL, 8), without(ALL, 8));
     }
 
+    @Test
+    void ranksTheSameVmsOfOneListOnBothSidesOfASplit() {
+        fleet.run(10_000);
+        fleet.list(1, vms(ALL), List.of(FakeFleet.name(0)));
+        fleet.run(10_000);
+        fleet.passes = (from, to) -> names(0, 18).contains(from) == names(0, 18).contains(to);
+        fleet.run(60_000);
+
+        List<Vm> left = fleet.view(FakeFleet.name(0)).rankedByList("floor/rotavis", 5);
+        assertThat(left).hasSize(5);
+        ALL.forEach(id ->
+                assertThat(fleet.view(id).rankedByList("floor/rotavis", 5)).isEqualTo(left));
+    }
+
     @Test
     void losesNoVmByAListThatLagsBehindItsOwnStart() {
         fleet.run(10_000);
