Tell the errors that a closed loop and the overhead measurement met

Cause: the overhead run had failures without a name. Change: failures are counted by the error that callers were told.

--- a/bench/src/main/java/io/coppershelf/bench/load/ClosedLoop.java
+++ b/bench/src/main/java/io/coppershelf/bench/load/ClosedLoop.java
@@ -6,20 +6,25 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.IntStream;
 
 /** Callers that each send the next call when the last one is answered, to find the rate at which a daemon saturates. */
 public final class ClosedLoop {
+    private static final int STATUS_OK = 200;
+
     private final HttpClient http =
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final URI address;
     private final long endNanos;
     private final AtomicLong next = new AtomicLong();
     private final LongAdder answered = new LongAdder();
-    private final LongAdder refused = new LongAdder();
+    private final ConcurrentMap<String, Integer> failures = new ConcurrentHashMap<>();
 
     private ClosedLoop(URI address, Duration duration) {
         this.address = address;
@@ -30,9 +35,10 @@
      * The rates of a closed loop.
      *
      * @param answeredPerSecond calls with status 200
-     * @param refusedPerSecond all other calls
+     * @param failedPerSecond all other calls
+     * @param failures the number of calls by the error that they were told
      */
-    public record Rates(double answeredPerSecond, double refusedPerSecond) {}
+    public record Rates(double answeredPerSecond, double failedPerSecond, Map<String, Integer> failures) {}
 
     /** Runs the callers for the duration. */
     public static Rates run(URI address, int callers, Duration duration) {
@@ -42,7 +48,8 @@
                         .toArray(CompletableFuture<?>[]::new))
                 .join();
         double seconds = duration.toNanos() / 1e9;
-        return new Rates(loop.answered.sum() / seconds, loop.refused.sum() / seconds);
+        int failed = loop.failures.values().stream().mapToInt(Integer::intValue).sum();
+        return new Rates(loop.answered.sum() / seconds, failed / seconds, Map.copyOf(loop.failures));
     }
 
     private CompletableFuture<Void> callAgain() {
@@ -54,11 +61,20 @@
                 .timeout(Duration.ofSeconds(10))
                 .build();
         return http.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
-                .handle((answer, failure) -> {
-                    boolean whole = answer != null && answer.statusCode() == 200;
-                    (whole ? answered : refused).increment();
-                    return whole;
-                })
-                .thenComposeAsync(whole -> callAgain());
+                .handle(this::count)
+                .thenComposeAsync(counted -> callAgain());
+    }
+
+    private boolean count(HttpResponse<byte[]> answer, Throwable failure) {
+        if (failure != null) {
+            failures.merge("unanswered", 1, Integer::sum);
+            return false;
+        }
+        if (answer.statusCode() == STATUS_OK) {
+            answered.increment();
+            return true;
+        }
+        failures.merge(answer.headers().firstValue("Coppershelf-Error").orElse("unstated"), 1, Integer::sum);
+        return false;
     }
 }
--- a/bench/src/main/java/io/coppershelf/bench/overhead/OverheadBench.java
+++ b/bench/src/main/java/io/coppershelf/bench/overhead/OverheadBench.java
@@ -19,6 +19,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * Compares calls straight to backend servers with calls through a daemon, in turns within one run, and finds the rate
@@ -68,6 +71,7 @@
             through.addAll(load("daemon-" + round, daemon, route, Duration.ofSeconds(seconds)));
         }
         print(LatencySummary.of(straight), LatencySummary.of(through));
+        System.out.println("failures through the daemon: " + failures(through));
         saturate(daemon.get(0).resolve(route.path()));
     }
 
@@ -79,19 +83,20 @@
         double cores = (after.cpuSeconds() - before.cpuSeconds()) / (duration.toNanos() / 1e9);
         System.out.printf(
                 Locale.ROOT,
-                "saturation: %.0f answered/s and %.0f refused/s with %d callers, %.2f cores, %.1f MB heap in use%n",
+                "saturation: %.0f answered/s and %.0f failed/s %s with %d callers, %.2f cores, %.1f MB heap in use%n",
                 rates.answeredPerSecond(),
-                rates.refusedPerSecond(),
+                rates.failedPerSecond(),
+                rates.failures(),
                 SATURATING_CALLERS,
                 cores,
                 after.heapBytes() / 1e6);
         System.out.printf(
                 Locale.ROOT,
                 "{\"bench\":\"overhead\",\"row\":\"saturation\",\"label\":\"%s\",\"answeredPerSecond\":%.1f,"
-                        + "\"refusedPerSecond\":%.1f,\"cores\":%.3f,\"heapBytes\":%.0f}%n",
+                        + "\"failedPerSecond\":%.1f,\"cores\":%.3f,\"heapBytes\":%.0f}%n",
                 label,
                 rates.answeredPerSecond(),
-                rates.refusedPerSecond(),
+                rates.failedPerSecond(),
                 cores,
                 after.heapBytes());
     }
@@ -131,6 +136,13 @@
                 summary.p999());
     }
 
+    private static Map<String, Long> failures(List<CallResult> results) {
+        return results.stream()
+                .filter(result -> result.status() != 200)
+                .collect(Collectors.groupingBy(
+                        result -> result.error().orElse("unstated"), TreeMap::new, Collectors.counting()));
+    }
+
     private List<CallResult> load(String name, List<URI> targets, RouteSpec route, Duration duration) {
         return LoadGenerator.run(new LoadPlan(
                 label.replace(' ', '-') + "-" + name,
