Bound the time to take an answer, prefer reachable owners, quiet stop

Cause: a caller that takes no answer held a thread for 300 s; an owner that does not reply cost each request its deadline; a request that came in the instant between the last answer and the closing of the port was cut. Ruled out: the JDK server's own time limit for answers, as it also covers the time that a request runs. Conclusion: slow callers and silent owners are bounded in time.

--- a/coppershelf/src/main/java/io/coppershelf/admission/OwnerLookup.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/OwnerLookup.java
@@ -2,6 +2,7 @@
 
 import io.coppershelf.membership.FleetView;
 import io.coppershelf.membership.Vm;
+import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
@@ -25,6 +26,14 @@
         return current.owners.computeIfAbsent(group, key -> key.owners(current.view));
     }
 
+    /** Returns the same VMs, those that this one can reach first. */
+    public List<Vm> reachableFirst(GroupName group) {
+        FleetView view = fleet.current();
+        return owners(group).stream()
+                .sorted(Comparator.comparing(vm -> !view.isReachable(vm.id())))
+                .toList();
+    }
+
     /** Returns whether this VM may serve the group. */
     public boolean isServedHere(GroupName group) {
         String self = fleet.current().self().id();
--- a/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/HealthPeers.java
+++ b/coppershelf/src/main/java/io/coppershelf/admission/internal/runtime/HealthPeers.java
@@ -20,6 +20,9 @@
     /** The VMs that are asked whether they can reach a server. */
     private static final int WITNESSES = 2;
 
+    /** The VMs among which those of other data centres are sought. */
+    private static final int WITNESS_CANDIDATES = 16;
+
     private static final Duration WITNESS_TIMEOUT = Duration.ofMillis(500);
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
 
@@ -61,7 +64,7 @@
     /** Asks VMs of other data centres whether they can reach the server; the listener hears those that reply. */
     void askReachability(GroupName group, String server, Consumer<Boolean> listener) {
         FleetView view = fleet.current();
-        view.ranked("witness/" + server, "", view.vms().size()).stream()
+        view.ranked("witness/" + server, "", WITNESS_CANDIDATES).stream()
                 .filter(vm -> !vm.id().equals(view.self().id()))
                 .filter(vm -> !vm.dataCentre().equals(group.dataCentre()))
                 .limit(WITNESSES)
--- a/coppershelf/src/main/java/io/coppershelf/caller/CallerPart.java
+++ b/coppershelf/src/main/java/io/coppershelf/caller/CallerPart.java
@@ -1,6 +1,7 @@
 package io.coppershelf.caller;
 
 import io.coppershelf.caller.internal.CallerServer;
+import io.coppershelf.caller.internal.CallerTimeouts;
 import io.coppershelf.caller.internal.ServerProperties;
 import io.coppershelf.kernel.Part;
 import io.coppershelf.kernel.ServiceRegistry;
@@ -11,11 +12,18 @@
 
 /** The part that takes callers' requests; the operator desk must be registered before {@link #register} is called. */
 public final class CallerPart implements Part {
+    private final CallerTimeouts timeouts;
     private volatile Optional<CallerServer> server = Optional.empty();
 
     /** Creates the part and sets the properties of the JDK's server, before its classes load. */
     public CallerPart() {
+        this(CallerTimeouts.DEFAULT);
+    }
+
+    /** Creates a part with other timeouts. */
+    CallerPart(CallerTimeouts timeouts) {
         ServerProperties.apply();
+        this.timeouts = timeouts;
     }
 
     @Override
@@ -34,7 +42,7 @@
 
     @Override
     public void start(ServiceRegistry registry) {
-        server = Optional.of(CallerServer.start(registry));
+        server = Optional.of(CallerServer.start(registry, timeouts));
     }
 
     /** Returns the address on which callers are served. */
--- a/coppershelf/src/main/java/io/coppershelf/caller/internal/CallerExchange.java
+++ b/coppershelf/src/main/java/io/coppershelf/caller/internal/CallerExchange.java
@@ -46,6 +46,12 @@
         answer(answer, true);
     }
 
+    /** Closes the connection of a caller that does not take its answer; the rest of the answer is not sent. */
+    void abort() {
+        logger.atFine().log("[caller] The answer to %s is not taken.", requestId);
+        exchange.close();
+    }
+
     private void answer(CallerAnswer answer, boolean close) {
         if (!isAnswered.compareAndSet(false, true)) {
             return;
--- a/coppershelf/src/main/java/io/coppershelf/caller/internal/CallerHandler.java
+++ b/coppershelf/src/main/java/io/coppershelf/caller/internal/CallerHandler.java
@@ -31,7 +31,8 @@
     private final TimeSource time;
     private final CallerMetrics metrics;
     private final RequestIds ids;
-    private final CallerLimits limits;
+    private final int largestHead;
+    private final CallerTimeouts timeouts;
     private final Executor answers;
     private final ScheduledExecutorService timers;
     private final Set<CallerExchange> open = ConcurrentHashMap.newKeySet();
@@ -43,7 +44,8 @@
             TimeSource time,
             CallerMetrics metrics,
             RequestIds ids,
-            CallerLimits limits,
+            int largestHead,
+            CallerTimeouts timeouts,
             Executor answers,
             ScheduledExecutorService timers) {
         this.configuration = configuration;
@@ -51,7 +53,8 @@
         this.time = time;
         this.metrics = metrics;
         this.ids = ids;
-        this.limits = limits;
+        this.largestHead = largestHead;
+        this.timeouts = timeouts;
         this.answers = answers;
         this.timers = timers;
     }
@@ -90,7 +93,7 @@
 
     private void serve(CallerExchange call, long receivedNanos) {
         checkServing();
-        RequestHead head = RequestHead.of(call.exchange(), limits.largestHead());
+        RequestHead head = RequestHead.of(call.exchange(), largestHead);
         RouteSpec route = route(head);
         byte[] body = readBody(call, head, route);
         if (call.isAnswered()) {
@@ -137,7 +140,7 @@
         }
         Future<?> timer = timers.schedule(
                 () -> answers.execute(() -> refuse(call, ErrorKind.SLOW_REQUEST, "The body took too long to arrive.")),
-                limits.bodyTimeout().toNanos(),
+                timeouts.body().toNanos(),
                 TimeUnit.NANOSECONDS);
         try {
             return RequestBody.read(call.exchange().getRequestBody(), head.length(), route.largestBody());
@@ -159,6 +162,8 @@
 
     private void answer(CallerExchange call, RouteSpec route, RequestResult result, long receivedNanos) {
         metrics.record(route.service(), result, time.nanos() - receivedNanos);
+        Future<?> timer = timers.schedule(call::abort, timeouts.answer().toNanos(), TimeUnit.NANOSECONDS);
         call.answer(CallerAnswer.of(call.requestId(), result));
+        timer.cancel(false);
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/caller/internal/CallerServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/caller/internal/CallerServer.java
@@ -23,7 +23,9 @@
 /** The HTTP server for callers. */
 public final class CallerServer {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final Duration BODY_TIMEOUT = Duration.ofSeconds(5);
+    /** The time without a request under way after which the port is closed. */
+    private static final Duration QUIET_BEFORE_CLOSE = Duration.ofMillis(200);
+
     private static final Duration STOP_POLL_INTERVAL = Duration.ofMillis(10);
     private static final int BACKLOG_CONNECTIONS = 1_024;
     private static final int LEAST_THREADS = 64;
@@ -49,7 +51,7 @@
     }
 
     /** Starts a server on the address of the settings. */
-    public static CallerServer start(ServiceRegistry registry) {
+    public static CallerServer start(ServiceRegistry registry, CallerTimeouts timeouts) {
         Settings settings = registry.require(Settings.NAME);
         Configuration.Source configuration = registry.require(Configuration.Source.NAME);
         TimeSource time = registry.require(TimeSource.NAME);
@@ -65,7 +67,8 @@
                 time,
                 new CallerMetrics(desk.metrics()),
                 new RequestIds(settings.vm(), time.wallMillis()),
-                new CallerLimits(settings.largestHead(), BODY_TIMEOUT),
+                settings.largestHead(),
+                timeouts,
                 answers,
                 timers);
         CallerServer server = new CallerServer(bind(settings), handler, readers, answers, timers);
@@ -124,8 +127,10 @@
     public void stop(Duration limit) {
         beginStop();
         long end = System.nanoTime() + limit.toNanos();
-        while (!handler.open().isEmpty() && System.nanoTime() < end) {
+        long quietSince = System.nanoTime();
+        while (System.nanoTime() < end && System.nanoTime() - quietSince < QUIET_BEFORE_CLOSE.toNanos()) {
             LockSupport.parkNanos(STOP_POLL_INTERVAL.toNanos());
+            quietSince = handler.open().isEmpty() ? quietSince : System.nanoTime();
         }
         List<CallerExchange> left = List.copyOf(handler.open());
         left.forEach(call -> call.answerAndClose(CallerAnswer.failed(
--- a/coppershelf/src/test/java/io/coppershelf/caller/CallerPartTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/caller/CallerPartTest.java
@@ -5,6 +5,7 @@
 
 import io.coppershelf.backend.BackendRequest.Header;
 import io.coppershelf.backend.BackendResult.Answer;
+import io.coppershelf.caller.internal.CallerTimeouts;
 import io.coppershelf.kernel.ServiceRegistry;
 import io.coppershelf.kernel.TimeSource;
 import io.coppershelf.outcome.ErrorKind;
@@ -55,6 +56,10 @@
 
     @BeforeEach
     void start() {
+        start(CallerTimeouts.DEFAULT);
+    }
+
+    private void start(CallerTimeouts timeouts) {
         ServiceRegistry registry = new ServiceRegistry();
         registry.register(TimeSource.NAME, TimeSource.system());
         registry.register(RequestPipeline.NAME, this);
@@ -73,11 +78,16 @@
                         2,
                         LARGEST_HEAD));
         FakeParts.of(FakeParts.server(1, 1)).register(registry);
-        part = new CallerPart();
+        part = new CallerPart(timeouts);
         part.register(registry);
         part.start(registry);
     }
 
+    private void restartWithShortTimeouts() {
+        part.stop(Duration.ZERO);
+        start(new CallerTimeouts(Duration.ofMillis(300), Duration.ofMillis(300)));
+    }
+
     @AfterEach
     void stop() {
         part.stop(Duration.ofSeconds(20));
@@ -180,6 +190,7 @@
 
     @Test
     void refusesBodyThatTakesTooLong() throws IOException {
+        restartWithShortTimeouts();
         try (RawCaller caller = RawCaller.connect(part.address())) {
             caller.send(POST + "Content-Length: 10\n\nslow");
 
@@ -191,6 +202,20 @@
         assertThat(served).isEmpty();
     }
 
+    @Test
+    void closesConnectionOfCallerThatDoesNotTakeItsAnswer() throws IOException {
+        restartWithShortTimeouts();
+        byte[] large = new byte[30_000_000];
+        next = CompletableFuture.completedFuture(RequestResult.answered(new Answer(200, List.of(), large)));
+        try (RawCaller caller = RawCaller.connect(part.address())) {
+            caller.send(GET + "\n");
+            awaitServed();
+            part.stop(Duration.ofSeconds(50));
+
+            assertThat(caller.takenOf(large.length)).isLessThan(large.length);
+        }
+    }
+
     @Test
     void handsOnCheckedRequestWithoutHeadersThatAreNotTheCallers() throws IOException {
         String request = POST
@@ -272,12 +297,16 @@
         next = new CompletableFuture<>();
         try (RawCaller caller = RawCaller.connect(part.address())) {
             caller.send(POST + "Content-Length: 0\n\n");
-            while (served.isEmpty()) {
-                Thread.onSpinWait();
-            }
+            awaitServed();
             part.stop(Duration.ZERO);
 
             assertThat(caller.reply().header("Coppershelf-Outcome")).isEqualTo("unknown");
         }
     }
+
+    private void awaitServed() {
+        while (served.isEmpty()) {
+            Thread.onSpinWait();
+        }
+    }
 }
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/kernel/internal/KernelTest.java
@@ -0,0 +1,108 @@
+package io.coppershelf.kernel.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.coppershelf.kernel.Part;
+import io.coppershelf.kernel.ServiceRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+
+class KernelTest {
+    private final List<String> steps = new ArrayList<>();
+
+    private Part part(String name, String failingStep) {
+        return new Part() {
+            @Override
+            public String name() {
+                return name;
+            }
+
+            @Override
+            public void register(ServiceRegistry registry) {
+                step("register");
+            }
+
+            @Override
+            public void start(ServiceRegistry registry) {
+                step("start");
+            }
+
+            @Override
+            public void announceStop() {
+                step("announce");
+            }
+
+            @Override
+            public void stop(Duration limit) {
+                step("stop");
+            }
+
+            private void step(String step) {
+                steps.add(step + " " + name);
+                if (step.equals(failingStep)) {
+                    throw new IllegalStateException(step);
+                }
+            }
+        };
+    }
+
+    @Test
+    void startsInOrderAndStopsInReverseOrderAfterTheAnnouncement() {
+        Kernel kernel = new Kernel(new ServiceRegistry(), List.of(part("a", ""), part("b", "")));
+        kernel.start();
+        kernel.stop(Duration.ofSeconds(1));
+
+        assertThat(steps)
+                .containsExactly(
+                        "register a",
+                        "register b",
+                        "start a",
+                        "start b",
+                        "announce b",
+                        "announce a",
+                        "stop b",
+                        "stop a")
+                .inOrder();
+    }
+
+    @Test
+    void stopsAllPartsThoughOneFails() {
+        Kernel kernel = new Kernel(new ServiceRegistry(), List.of(part("a", ""), part("b", "stop")));
+        kernel.start();
+        kernel.stop(Duration.ofSeconds(1));
+
+        assertThat(steps).contains("stop a");
+    }
+
+    @Test
+    void stopsWhatHadStartedIfOnePartDoesNotStart() {
+        Kernel kernel = new Kernel(new ServiceRegistry(), List.of(part("a", ""), part("b", "start"), part("c", "")));
+
+        assertThrows(IllegalStateException.class, kernel::start);
+
+        assertThat(steps).contains("stop a");
+        assertThat(steps).doesNotContain("start c");
+    }
+
+    @Test
+    void controlThreadGoesOnAfterAFailedTask() throws InterruptedException {
+        BlockingQueue<Integer> runs = new LinkedBlockingQueue<>();
+        try (SingleControlThread control = new SingleControlThread()) {
+            control.every(Duration.ofMillis(1), () -> {
+                runs.add(1);
+                throw new IllegalStateException("a failed run");
+            });
+            control.execute(() -> runs.add(2));
+
+            List<Integer> seen = new ArrayList<>();
+            while (seen.stream().filter(run -> run == 1).count() < 3 || !seen.contains(2)) {
+                seen.add(runs.take());
+            }
+        }
+    }
+}
--- a/coppershelf/src/test/java/io/coppershelf/testing/RawCaller.java
+++ b/coppershelf/src/test/java/io/coppershelf/testing/RawCaller.java
@@ -9,6 +9,8 @@
 
 /** A caller over a raw socket. */
 public final class RawCaller implements Closeable {
+    private static final int READ_TIMEOUT_MILLIS = 30_000;
+
     private final Socket socket;
 
     private RawCaller(Socket socket) {
@@ -19,6 +21,7 @@
     public static RawCaller connect(InetSocketAddress address) throws IOException {
         Socket socket = new Socket();
         socket.connect(address);
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
         return new RawCaller(socket);
     }
 
@@ -65,6 +68,16 @@
         }
     }
 
+    /** Reads one answer and returns how many bytes of its body came before the connection ended. */
+    public int takenOf(int length) throws IOException {
+        Reply unused = head();
+        try {
+            return socket.getInputStream().readNBytes(length).length;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     /** Reads the head of one answer, empty if the connection is closed instead. */
     public Reply head() throws IOException {
         StringBuilder head = new StringBuilder();
