Routing: retry repeatable tries that the owner cancelled, and believe the told wait of a full group

Cause: an owner cancels overdue repeatable tries on a stalled server, which end as DEADLINE_PASSED before the caller's deadline; the router took that as final and told the caller "unknown" early. A refusal counted as a wait of 1 s even when the group told a longer one, so that full groups looked better than others. Ruled out: another error kind for cancelled tries (the closed list has one that is true: the outcome is unknown). Change: DEADLINE_PASSED is retried for idempotent kinds within the budget; a refusal counts as the larger of 1 s and the told wait.

--- a/bench/src/main/java/io/coppershelf/bench/decisions/EntryVms.java
+++ b/bench/src/main/java/io/coppershelf/bench/decisions/EntryVms.java
@@ -107,7 +107,7 @@
         }
         long now = world.time().now();
         boolean repeatable = reply.isNotRun() || request.kind().idempotent();
-        if (!reply.isSuccess() && repeatable && mayRetry(request, now)) {
+        if (reply.status().isEmpty() && repeatable && mayRetry(request, now)) {
             entries.get(request.vm()).budget -= 1;
             send(request, host);
             return;
--- a/coppershelf/src/main/java/io/coppershelf/routing/internal/KnownLoads.java
+++ b/coppershelf/src/main/java/io/coppershelf/routing/internal/KnownLoads.java
@@ -26,7 +26,8 @@
                 .filter(error -> error.outcome() == Outcome.NOT_RUN)
                 .isPresent();
         if (isRefused) {
-            heard.put(group, new Heard(WAIT_AFTER_REFUSAL.toNanos(), nowNanos));
+            long told = result.load().map(KnownLoads::waitNanos).orElse(0L);
+            heard.put(group, new Heard(Math.max(told, WAIT_AFTER_REFUSAL.toNanos()), nowNanos));
             return;
         }
         result.load().ifPresent(load -> heard.put(group, new Heard(waitNanos(load), nowNanos)));
--- a/coppershelf/src/main/java/io/coppershelf/routing/internal/RequestDecisions.java
+++ b/coppershelf/src/main/java/io/coppershelf/routing/internal/RequestDecisions.java
@@ -141,7 +141,7 @@
     private boolean isRetryable(ErrorKind error) {
         return switch (error) {
             case OVERLOADED, NO_SERVER, SERVER_REFUSED -> true;
-            case SERVER_LOST, ANSWER_TRUNCATED, ANSWER_FOREIGN, OWNER_LOST -> isIdempotent;
+            case SERVER_LOST, ANSWER_TRUNCATED, ANSWER_FOREIGN, OWNER_LOST, DEADLINE_PASSED -> isIdempotent;
             default -> false;
         };
     }
--- a/coppershelf/src/test/java/io/coppershelf/routing/internal/GroupChoiceTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/routing/internal/GroupChoiceTest.java
@@ -62,6 +62,8 @@
 
         assertThat(loads.expectedWaitNanos(HERNING, 0)).isEqualTo(8_000_000);
         assertThat(loads.expectedWaitNanos(VIBORG, 0)).isEqualTo(1_000_000_000);
+        loads.record(VIBORG, TryResult.failed(ErrorKind.OVERLOADED).withLoad(new GroupLoad(0, 3_000_000_000L)), 0);
+        assertThat(loads.expectedWaitNanos(VIBORG, 0)).isEqualTo(3_001_000_000L);
         assertThat(loads.expectedWaitNanos(ODENSE, 0)).isEqualTo(0);
         assertThat(loads.expectedWaitNanos(HERNING, Duration.ofSeconds(2).toNanos()))
                 .isEqualTo(0);
--- a/coppershelf/src/test/java/io/coppershelf/routing/internal/RequestDecisionsTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/routing/internal/RequestDecisionsTest.java
@@ -92,6 +92,7 @@
         "true, ANSWER_TRUNCATED, viborg, 0, 4",
         "true, ANSWER_FOREIGN, viborg, 0, 4",
         "true, OWNER_LOST, viborg, 0, 4",
+        "true, DEADLINE_PASSED, viborg, 0, 4",
     })
     void triesElsewhereWithinBudget(
             boolean isIdempotent, ErrorKind error, String dataCentre, int candidate, int budgetLeft) {
