A first ticket for the measurement of the spread

Cause: daemons without any configuration are not ready, so the measurement never began. Ruled out: waiting for less than readiness. Change: the platform of bin/bench tickets starts with one ticket.

--- a/bench/src/main/java/io/coppershelf/bench/tickets/TicketsBench.java
+++ b/bench/src/main/java/io/coppershelf/bench/tickets/TicketsBench.java
@@ -48,7 +48,7 @@
     @Option(name = "--tickets", description = "Number of tickets under each fault")
     private int tickets = 10;
 
-    private long lastNumber;
+    private long lastNumber = 1;
 
     /** Runs all rows. */
     public static void main(String[] args) throws IOException, InterruptedException {
--- a/bin/lib/bench-tickets.sh
+++ b/bin/lib/bench-tickets.sh
@@ -40,8 +40,10 @@
 data_centres=$(customer_data_centres association)
 # shellcheck disable=SC2086
 write_vms "$RUN_DIR/vms.json" "$DAEMONS" $data_centres
+mkdir -p "$RUN_DIR/tickets"
+echo '{"ticket": 1, "services": {"spread": {"floor": 1, "detectionWeight": 0.5}}}' >"$RUN_DIR/tickets/1.json"
 start platform java -Xmx128m -cp "$(bench_classpath)" io.coppershelf.bench.BenchMain \
-    platform --port "$PLATFORM_PORT" --vms "$RUN_DIR/vms.json"
+    platform --port "$PLATFORM_PORT" --tickets "$RUN_DIR/tickets" --vms "$RUN_DIR/vms.json"
 wait_for_line platform "listens on"
 start_daemons association "$DAEMONS"
 echo "$DAEMONS daemons are ready."
