--- a/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimTransfer.java
+++ b/coppershelf/src/main/java/io/coppershelf/claim/internal/ClaimTransfer.java
@@ -62,6 +62,9 @@
     public void onFleet(ControlThread control) {
         FleetView former = before;
         FleetView view = fleet.current();
+        if (list(former).equals(list(view))) {
+            return;
+        }
         before = view;
         holder.onFleet(view, time.nanos());
         push(former, view);
@@ -97,8 +100,7 @@
 
     private void onPull(String sender, ClaimPull pull, PeerExchange.Replies replies) {
         FleetView view = fleet.current();
-        boolean known = view.rankedByList("", Integer.MAX_VALUE).stream()
-                .anyMatch(vm -> vm.id().equals(sender));
+        boolean known = list(view).stream().anyMatch(vm -> vm.id().equals(sender));
         if (!known) {
             return;
         }
@@ -132,6 +134,10 @@
         pulling.remove(id);
     }
 
+    private static List<Vm> list(FleetView view) {
+        return view.rankedByList("", Integer.MAX_VALUE);
+    }
+
     private void push(FleetView former, FleetView view) {
         var unused = pushAll(key -> {
             List<String> added = new ArrayList<>(ClaimHistory.holders(view, key));
