Fault matrix: 17 faults at 10 steps over the decisions

Cause: single faults were tested in single state machines, not at every step of a request, a ticket and an ejection. Ruled out: one world for all steps (tickets and rights have other actors); skipped cells (a cell that can't occur has a test that names its reason). Change: bench.matrix with small worlds in virtual time around the real RequestDecisions, ClaimRound, HolderState, ServerGroup, ConfigurationStore and FloorNode; FaultMatrixTest checks run at most once, told as not run, whole own answer, answer in time, drain, floor and no revert. RequestDecisions and its events became public for it. The HTTP client is a fake in it; HttpBackendClientTest speaks for the real one.

--- /dev/null
+++ b/bench/src/main/java/io/coppershelf/bench/matrix/OwnerVm.java
@@ -0,0 +1,141 @@
+package io.coppershelf.bench.matrix;
+
+import io.coppershelf.admission.GroupAction;
+import io.coppershelf.admission.GroupEvent;
+import io.coppershelf.admission.GroupName;
+import io.coppershelf.admission.ServerGroup;
+import io.coppershelf.admission.TryResult;
+import io.coppershelf.backend.BackendResult.Answer;
+import io.coppershelf.backend.BackendResult.ServerState;
+import io.coppershelf.outcome.ErrorKind;
+import io.coppershelf.ticket.ServerSpec;
+import io.coppershelf.ticket.ServiceSpec;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+
+/** One VM as owner of the server group: the real decisions, driven in virtual time. */
+final class OwnerVm {
+    static final String SERVICE = "millrelease";
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration CANCEL_LIMIT = Duration.ofMillis(500);
+
+    private final String id;
+    private final VirtualNetwork network;
+    private final Map<String, FakeServer> servers;
+    private final Consumer<Step> reached;
+    private final Map<String, Consumer<TryResult>> open = new HashMap<>();
+    private ServerGroup group;
+    private boolean stopping;
+    private boolean draining;
+
+    OwnerVm(String id, VirtualNetwork network, Map<String, FakeServer> servers, Consumer<Step> reached) {
+        this.id = id;
+        this.network = network;
+        this.servers = servers;
+        this.reached = reached;
+        start();
+    }
+
+    /** Starts without memory. */
+    void start() {
+        open.clear();
+        group = ServerGroup.create(new GroupName(SERVICE, "thess-a"), new Random(1));
+        configure();
+        tick();
+    }
+
+    void stop() {
+        stopping = true;
+    }
+
+    /** Takes over a ticket by which the first server is draining. */
+    void drainFirstServer() {
+        draining = true;
+        configure();
+    }
+
+    /** Takes a forwarded try; its result goes to the given receiver on this VM's side. */
+    void receive(String tryId, Duration remaining, Consumer<TryResult> reply) {
+        if (stopping) {
+            reply.accept(TryResult.failed(ErrorKind.STOPPING));
+            return;
+        }
+        open.put(tryId, reply);
+        long deadline = network.nowNanos() + remaining.toNanos();
+        handle(new GroupEvent.RequestArrived(tryId, SERVICE + "/release", false, 5, deadline, false));
+    }
+
+    void cancel(String tryId) {
+        handle(new GroupEvent.RequestCancelled(tryId));
+    }
+
+    private void tick() {
+        handle(new GroupEvent.Tick());
+        network.after(id, TICK, this::tick);
+    }
+
+    private void configure() {
+        List<ServerSpec> specs = servers.keySet().stream()
+                .sorted()
+                .map(name -> new ServerSpec(
+                        name, SERVICE, "thess-a", "127.0.0.1", 1, 2, 330, draining && name.endsWith("1")))
+                .toList();
+        handle(new GroupEvent.Configured(new ServiceSpec(SERVICE, 1, 0.2), specs));
+    }
+
+    private void handle(GroupEvent event) {
+        group.on(event, network.nowNanos()).forEach(this::perform);
+    }
+
+    private void perform(GroupAction action) {
+        if (action instanceof GroupAction.Dispatch dispatch) {
+            dispatch(dispatch.tryId(), servers.get(dispatch.server()));
+        } else if (action instanceof GroupAction.Refuse refuse) {
+            reply(refuse.tryId(), TryResult.refused(refuse.error(), refuse.retryAfter()));
+        } else if (action instanceof GroupAction.CancelOnServer cancel) {
+            cancelOnServer(cancel.tryId(), servers.get(cancel.server()));
+        } else if (action instanceof GroupAction.AskEjection ask) {
+            handle(new GroupEvent.EjectionRefused(ask.server()));
+        }
+    }
+
+    private void dispatch(String tryId, FakeServer server) {
+        reached.accept(Step.SENT);
+        network.send(id, server.name(), () -> server.receive(tryId, result -> back(tryId, server, result)));
+    }
+
+    private void back(String tryId, FakeServer server, FakeServer.Result result) {
+        network.send(server.name(), id, () -> end(tryId, result.body(), result.error()));
+    }
+
+    private void cancelOnServer(String tryId, FakeServer server) {
+        network.send(id, server.name(), () -> {
+            if (server.cancel(tryId)) {
+                network.send(
+                        server.name(),
+                        id,
+                        () -> end(tryId, Optional.empty(), Optional.of(ErrorKind.DEADLINE_BEFORE_RUN)));
+            }
+        });
+        network.after(id, CANCEL_LIMIT, () -> end(tryId, Optional.empty(), Optional.of(ErrorKind.DEADLINE_PASSED)));
+    }
+
+    private void end(String tryId, Optional<String> body, Optional<ErrorKind> error) {
+        if (!open.containsKey(tryId)) {
+            return;
+        }
+        Optional<Answer> answer = body.map(text -> new Answer(200, List.of(), text.getBytes(StandardCharsets.UTF_8)));
+        reply(tryId, new TryResult(answer, error, Optional.empty(), Optional.empty()));
+        handle(new GroupEvent.TryEnded(tryId, answer.map(Answer::status), error, ServerState.READY));
+    }
+
+    private void reply(String tryId, TryResult result) {
+        Optional.ofNullable(open.remove(tryId)).ifPresent(receiver -> receiver.accept(result));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/io/coppershelf/bench/matrix/Step.java
@@ -0,0 +1,15 @@
+package io.coppershelf.bench.matrix;
+
+/** The steps at which faults strike. */
+enum Step {
+    RECEIVED,
+    CLAIMED,
+    FORWARDED,
+    SENT,
+    RUNNING,
+    ANSWERING,
+    TICKET_HALF_SPREAD,
+    EJECTION_HALF_GRANTED,
+    START,
+    STOP
+}
--- a/coppershelf/src/main/java/io/coppershelf/routing/internal/RequestAction.java
+++ b/coppershelf/src/main/java/io/coppershelf/routing/internal/RequestAction.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 
 /** What a request wants done. */
-sealed interface RequestAction {
+public sealed interface RequestAction {
     /**
      * Send a try.
      *
--- a/coppershelf/src/main/java/io/coppershelf/routing/internal/RequestDecisions.java
+++ b/coppershelf/src/main/java/io/coppershelf/routing/internal/RequestDecisions.java
@@ -25,7 +25,7 @@
  * before proves that it did not run. The caller is told {@code not run} only if that is proved of every try. Not safe
  * for use by several threads.
  */
-final class RequestDecisions {
+public final class RequestDecisions {
     private static final int MOST_TRIES = 3;
     private static final int MOST_HOPS = 9;
 
@@ -42,13 +42,14 @@
     private Optional<ErrorKind> uncertain = Optional.empty();
     private Optional<TryResult> refusal = Optional.empty();
 
-    RequestDecisions(boolean isIdempotent, TryPolicy policy) {
+    /** Returns the decisions of a request that was not started yet. */
+    public RequestDecisions(boolean isIdempotent, TryPolicy policy) {
         this.isIdempotent = isIdempotent;
         this.policy = policy;
     }
 
     /** Takes in one event and returns what is to be done, in order. */
-    List<RequestAction> on(RequestEvent event) {
+    public List<RequestAction> on(RequestEvent event) {
         List<RequestAction> actions = new ArrayList<>();
         if (event instanceof RequestEvent.Started) {
             start(actions);
--- a/coppershelf/src/main/java/io/coppershelf/routing/internal/RequestEvent.java
+++ b/coppershelf/src/main/java/io/coppershelf/routing/internal/RequestEvent.java
@@ -3,7 +3,7 @@
 import io.coppershelf.admission.TryResult;
 
 /** What happens to a request of a caller. */
-sealed interface RequestEvent {
+public sealed interface RequestEvent {
     /** The request may be sent: it needed no claim, or its claim was granted. */
     record Started() implements RequestEvent {}
 
