Claims of nine VMs in virtual time

Cause: the wiring of history and table in a holder, and claims over several VMs under loss and restarts, had no test. Ruled out: only the fault matrix, which loses one holder. Change: ClaimFleetTest: 8 rows of loss and holder restarts x 60 seeds, six attempts each, messages lost, late, repeated.

--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/claim/internal/ClaimFleetTest.java
@@ -0,0 +1,198 @@
+package io.coppershelf.claim.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.coppershelf.claim.Claims.Verdict;
+import io.coppershelf.claim.internal.ClaimMessage.ClaimCompletion;
+import io.coppershelf.claim.internal.ClaimMessage.ClaimPage;
+import io.coppershelf.claim.internal.ClaimMessage.ClaimRequest;
+import io.coppershelf.floor.internal.FakeFleetView;
+import io.coppershelf.membership.Vm;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Attempts with one key through many VMs: at most one runs, while messages are lost, late and repeated. */
+class ClaimFleetTest {
+    private static final int VMS = 9;
+    private static final int SEEDS = 60;
+    private static final Duration SETTLED = ClaimLimits.SETTLING_TIME.plusSeconds(1);
+    private static final RequestDigest DIGEST = new RequestDigest(1, 2);
+    private static final String KEY = "millrelease/coil-7";
+
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+    private final Map<String, HolderState> holders = new HashMap<>();
+    private final Map<String, Long> incarnations = new HashMap<>();
+    private final List<String> ids =
+            IntStream.range(0, VMS).mapToObj(i -> "vm" + i).toList();
+    private Random random = new Random(0);
+    private double loss;
+    private long now;
+    private long order;
+    private int runs;
+    private int claims;
+
+    @Test
+    void newHolderAnswersNoHistoryBeforeItsPull() {
+        begin(1, 0);
+        ids.forEach(id -> assertThat(claimAt(id)).isEqualTo(HolderAnswer.Verdict.NO_HISTORY));
+        pass(SETTLED);
+        ids.forEach(id -> assertThat(claimAt(id)).isEqualTo(HolderAnswer.Verdict.ACCEPTED));
+    }
+
+    @ParameterizedTest(name = "loss {0}, {1} holders restart at once, {2} apart")
+    @CsvSource({"0,0,0", "0.1,0,0", "0.3,0,0", "0,1,0", "0.1,2,0", "0,3,0", "0.1,3,0", "0.1,3,9000"})
+    void runsAtMostOnce(double share, int restarts, int apartMillis) {
+        int decided = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            begin(seed, 0);
+            pass(SETTLED);
+            loss = share;
+            for (int i = 0; i < 6; i++) {
+                String attempt = "attempt" + i;
+                at(Duration.ofMillis(random.nextInt(i < 3 ? 600 : 25_000)), () -> attempt(attempt));
+            }
+            List<String> lost = ClaimHistory.holders(view("vm0"), KEY).subList(0, restarts);
+            for (int i = 0; i < restarts; i++) {
+                String holder = lost.get(i);
+                at(Duration.ofMillis(random.nextInt(1_000) + (long) i * apartMillis), () -> restart(holder));
+            }
+            pass(Duration.ofSeconds(60));
+            assertWithMessage("runs, seed %s", seed).that(runs).isAtMost(1);
+            decided += Math.min(claims, 1);
+        }
+        assertWithMessage("seeds in which an attempt got the key").that(decided).isAtLeast(SEEDS / 10);
+    }
+
+    private HolderAnswer.Verdict claimAt(String id) {
+        return holders.get(id)
+                .claim(new ClaimRequest("other", DIGEST, "a", 1_000), now)
+                .verdict();
+    }
+
+    private void begin(int seed, double share) {
+        random = new Random(seed);
+        loss = share;
+        now = 0;
+        runs = 0;
+        claims = 0;
+        events.clear();
+        ids.forEach(id -> incarnations.put(id, 1L));
+        ids.forEach(this::start);
+    }
+
+    private void start(String id) {
+        HolderState holder = new HolderState(view(id), now);
+        holders.put(id, holder);
+        at(ClaimLimits.SETTLING_TIME, () -> pullMissing(id, holder));
+    }
+
+    private void restart(String id) {
+        incarnations.merge(id, 1L, Long::sum);
+        start(id);
+        ids.stream()
+                .filter(other -> !other.equals(id))
+                .forEach(other -> holders.get(other).onFleet(view(other), now));
+    }
+
+    private FakeFleetView view(String id) {
+        List<Vm> vms = ids.stream()
+                .map(name -> FakeFleetView.vm(name, incarnations.get(name)))
+                .toList();
+        return new FakeFleetView(vms.get(ids.indexOf(id)), vms, Set.of());
+    }
+
+    private void pullMissing(String id, HolderState holder) {
+        if (holders.get(id) != holder) {
+            return;
+        }
+        for (String peer : holder.missing(now)) {
+            send(() -> {
+                ClaimPage page = holders.get(peer).page("", key -> true, now);
+                send(() -> {
+                    holder.merge(page.attempts(), now);
+                    holder.onPulled(peer, page.knowing(), page.lost());
+                });
+            });
+        }
+        at(Duration.ofMillis(500), () -> pullMissing(id, holder));
+    }
+
+    private void attempt(String id) {
+        List<String> asked = ClaimHistory.holders(view("vm0"), KEY);
+        ClaimRound round = new ClaimRound(asked);
+        ClaimRequest request = new ClaimRequest(KEY, DIGEST, id, 2_000);
+        for (String holder : asked) {
+            send(() -> {
+                HolderAnswer answer = holders.get(holder).claim(request, now);
+                send(() -> onVerdict(id, round.onAnswer(holder, answer)));
+            });
+            at(ClaimLimits.CLAIM_TIMEOUT, () -> onVerdict(id, round.onNoAnswer(holder)));
+        }
+    }
+
+    /** A claimed attempt runs or not; its end is told truly, or as unknown, or never since its VM is lost. */
+    private void onVerdict(String id, Optional<Verdict> verdict) {
+        if (verdict.isEmpty()) {
+            return;
+        }
+        if (!(verdict.get() instanceof Verdict.Claimed)) {
+            complete(id, AttemptStatus.NOT_RUN);
+            return;
+        }
+        claims++;
+        boolean ran = random.nextInt(3) > 0;
+        runs += ran ? 1 : 0;
+        AttemptStatus truth = ran ? AttemptStatus.RUN : AttemptStatus.NOT_RUN;
+        int told = random.nextInt(4);
+        if (told > 0) {
+            at(Duration.ofMillis(random.nextInt(2_000)), () -> complete(id, told == 1 ? AttemptStatus.UNKNOWN : truth));
+        }
+    }
+
+    private void complete(String id, AttemptStatus status) {
+        ClaimCompletion completion = new ClaimCompletion(KEY, DIGEST, id, status, Optional.empty());
+        for (String holder : ClaimHistory.holders(view("vm0"), KEY)) {
+            send(() -> holders.get(holder).complete(completion, now));
+            send(() -> holders.get(holder).complete(completion, now));
+        }
+    }
+
+    private void send(Runnable arrival) {
+        if (random.nextDouble() < loss) {
+            return;
+        }
+        int copies = random.nextInt(10) == 0 ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            at(Duration.ofMillis(random.nextInt(20) == 0 ? random.nextInt(3_000) : random.nextInt(20)), arrival);
+        }
+    }
+
+    private void at(Duration delay, Runnable task) {
+        events.add(new Event(now + delay.toNanos(), order++, task));
+    }
+
+    private void pass(Duration duration) {
+        long end = now + duration.toNanos();
+        while (!events.isEmpty() && events.peek().at() <= end) {
+            Event event = events.poll();
+            now = event.at();
+            event.task().run();
+        }
+        now = end;
+    }
+
+    private record Event(long at, long order, Runnable task) {}
+}
