--- a/bin/lib/fleet.sh
+++ b/bin/lib/fleet.sh
@@ -1,17 +1,19 @@
 # Functions that describe a fleet of daemons on loopback addresses and start it. Sourced after processes.sh.
 
-CALLER_PORT=18080
-PEER_PORT=18090
-OPERATOR_PORT=18091
-PLATFORM_PORT=18070
-BACKEND_ADMIN_PORT=18071
+# Ports and network may be set from outside, so that two fleets can run side by side.
+VM_NETWORK="${VM_NETWORK:-127.0.10}"
+CALLER_PORT="${CALLER_PORT:-18080}"
+PEER_PORT="${PEER_PORT:-18090}"
+OPERATOR_PORT="${OPERATOR_PORT:-18091}"
+PLATFORM_PORT="${PLATFORM_PORT:-18070}"
+BACKEND_ADMIN_PORT="${BACKEND_ADMIN_PORT:-18071}"
 # Daemons started at once; more would only wait for the processor.
 START_BATCH=4
 DAEMON_JAVA_OPTIONS="${DAEMON_JAVA_OPTIONS:--Xms24m -Xmx64m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=4 -XX:ReservedCodeCacheSize=32m}"
 
 # vm_host N: the loopback address of the VM with the number N.
 vm_host() {
-    echo "127.0.10.$1"
+    echo "$VM_NETWORK.$1"
 }
 
 # vm_data_centre N DC...: data centres are given in turn.
--- a/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipDecisions.java
+++ b/coppershelf/src/main/java/io/coppershelf/membership/internal/MembershipDecisions.java
@@ -202,9 +202,11 @@
 
     private void confirmSuspects(long nowNanos, List<MembershipAction> actions) {
         for (Member member : table.withStatus(MemberStatus.SUSPECT)) {
-            long sinceNanos = Math.max(0, judgesFromNanos - member.changedNanos()) + member.changedNanos();
+            long changedNanos = member.changedNanos();
+            boolean isFromBefore = changedNanos - judgesFromNanos < 0;
+            long sinceNanos = isFromBefore ? judgesFromNanos : changedNanos;
             boolean isOverdue = nowNanos - sinceNanos >= SUSPICION_NANOS;
-            if (isOverdue && !member.hasAnsweredSince(member.changedNanos())) {
+            if (isOverdue && !member.hasAnsweredSince(changedNanos)) {
                 merge(member.update().withStatus(MemberStatus.GONE), nowNanos, actions);
             }
         }
@@ -223,15 +225,20 @@
                 .filter(member ->
                         member.update().vm().incarnation() == answerer.vm().incarnation())
                 .ifPresent(member -> table.answered(member, nowNanos));
+        fetchWhatIsMissing(event, nowNanos, actions);
+    }
+
+    private void fetchWhatIsMissing(ProbeAnswered event, long nowNanos, List<MembershipAction> actions) {
+        Vm answerer = event.answerer().vm();
         long pullInterval = Math.max(SHORTEST_PULL_INTERVAL_NANOS, PULL_NANOS_PER_MEMBER * table.liveCount());
         if (event.digest() != digest() && nowNanos - lastPullNanos >= pullInterval) {
             lastPullNanos = nowNanos;
-            actions.add(new Pull(answerer.vm()));
+            actions.add(new Pull(answerer));
         }
-        boolean isListFresher = event.listRevision() > table.listRevision() && isLive(answerer.vm());
+        boolean isListFresher = event.listRevision() > table.listRevision() && isLive(answerer);
         if (isListFresher && nowNanos - lastListPullNanos >= LIST_PULL_INTERVAL_NANOS) {
             lastListPullNanos = nowNanos;
-            actions.add(new MembershipAction.PullList(answerer.vm()));
+            actions.add(new MembershipAction.PullList(answerer));
         }
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/peer/internal/Connection.java
+++ b/coppershelf/src/main/java/io/coppershelf/peer/internal/Connection.java
@@ -21,14 +21,12 @@
 final class Connection implements SelectorLoop.Ready {
     private static final int QUEUE_LIMIT_BYTES = 8 * 1024 * 1024;
     private static final int QUEUE_LIMIT_FRAMES = 4096;
-    private static final int READ_BYTES = 64 * 1024;
 
     private final SelectorLoop loop;
     private final Events events;
     private final Optional<Vm> target;
     private final FrameReader reader = new FrameReader();
     private final FrameWriter writer = new FrameWriter();
-    private final ByteBuffer input = ByteBuffer.allocate(READ_BYTES);
     private final Deque<Outbound> queue = new ArrayDeque<>();
     private final ConcurrentMap<Long, Outbound> pending = new ConcurrentHashMap<>();
     private final long openedNanos = System.nanoTime();
@@ -214,7 +212,7 @@
     }
 
     private void read() throws IOException {
-        input.clear();
+        ByteBuffer input = loop.readBuffer();
         int count = channel.orElseThrow().read(input);
         if (count < 0) {
             if (reader.isInsideFrame()) {
@@ -227,13 +225,13 @@
         usedNanos = receivedNanos;
         input.flip();
         try {
-            takeFrames();
+            takeFrames(input);
         } catch (FrameTooLongException e) {
             events.frameTooLong(this, e);
         }
     }
 
-    private void takeFrames() throws FrameTooLongException {
+    private void takeFrames(ByteBuffer input) throws FrameTooLongException {
         Optional<byte[]> frame = reader.next(input, events.frameLimit(this));
         while (frame.isPresent()) {
             events.received(this, frame.get());
--- a/coppershelf/src/main/java/io/coppershelf/peer/internal/SelectorLoop.java
+++ b/coppershelf/src/main/java/io/coppershelf/peer/internal/SelectorLoop.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -14,10 +15,12 @@
 /** The one thread that reads and writes the sockets of peers. */
 final class SelectorLoop {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int READ_BYTES = 64 * 1024;
     private static final long BUSY_SWEEP_MILLIS = 10;
     private static final long IDLE_SWEEP_MILLIS = 250;
 
     private final Selector selector;
+    private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
     private final Runnable sweep;
     private final BooleanSupplier isBusy;
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
@@ -43,6 +46,13 @@
         return selector;
     }
 
+    /**
+     * Returns the one buffer into which all channels are read, cleared; its content is used up before the next read.
+     */
+    ByteBuffer readBuffer() {
+        return readBuffer.clear();
+    }
+
     void start() {
         thread.start();
     }
