--- a/coppershelf/src/main/java/io/coppershelf/health/GroupHealth.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/GroupHealth.java
@@ -1,6 +1,7 @@
 package io.coppershelf.health;
 
 import io.coppershelf.backend.BackendResult.ServerState;
+import io.coppershelf.health.internal.DrainSigns;
 import io.coppershelf.health.internal.ErrorRates;
 import io.coppershelf.health.internal.GroupTime;
 import io.coppershelf.health.internal.ObservedClock;
@@ -36,8 +37,6 @@
     private static final long SHARE_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
     /** A server that has said nothing for so long is probed. */
     private static final long QUIET_LIMIT_NANOS = Duration.ofSeconds(5).toNanos();
-    /** How long a server that drains by its own word is not taken back by a probe, which may lag. */
-    private static final long LEAST_DRAIN_NANOS = Duration.ofSeconds(10).toNanos();
     /** A try whose life was not observed for longer than this says nothing about its server. */
     private static final long UNOBSERVED_LIMIT_NANOS = Duration.ofMillis(500).toNanos();
     /** A timeout speaks against the server if the try was so surprisingly late. */
@@ -50,8 +49,7 @@
     private final ErrorRates errorRates = new ErrorRates();
     private final Map<String, ServerHealth> servers = new TreeMap<>();
     private final Map<String, Long> lastHeardNanos = new TreeMap<>();
-    private final Map<String, Long> ownDrainNanos = new TreeMap<>();
-    private final Set<String> drainingByTicket = new HashSet<>();
+    private final DrainSigns drainSigns = new DrainSigns();
 
     private boolean configured;
     private long sharedNanos;
@@ -93,18 +91,16 @@
     private void forget(String server) {
         servers.remove(server);
         lastHeardNanos.remove(server);
-        ownDrainNanos.remove(server);
-        drainingByTicket.remove(server);
+        drainSigns.forget(server);
         usualTimes.forget(server);
         errorRates.forget(server);
     }
 
     private void applyTicketDrain(ServerSpec spec, ServerHealth server, long nowNanos) {
-        if (spec.draining()) {
-            drainingByTicket.add(spec.name());
-            server.drain("draining by ticket", time(nowNanos));
-        } else if (drainingByTicket.remove(spec.name()) && !ownDrainNanos.containsKey(spec.name())) {
+        if (!drainSigns.setByTicket(spec.name(), spec.draining())) {
             server.endDrain(time(nowNanos));
+        } else if (spec.draining()) {
+            server.drain("draining by ticket", time(nowNanos));
         }
     }
 
@@ -199,7 +195,7 @@
     private void hear(String server, ServerHealth health, ServerState state, long nowNanos) {
         switch (state) {
             case DRAINING -> {
-                ownDrainNanos.put(server, nowNanos);
+                drainSigns.stateDraining(server, nowNanos);
                 health.drain("draining by its own word", time(nowNanos));
             }
             case COLD -> {
@@ -215,12 +211,7 @@
     }
 
     private void endOwnDrain(String server, ServerHealth health, long nowNanos) {
-        Long since = ownDrainNanos.get(server);
-        if (since == null || nowNanos - since < LEAST_DRAIN_NANOS) {
-            return;
-        }
-        ownDrainNanos.remove(server);
-        if (!drainingByTicket.contains(server)) {
+        if (!drainSigns.stateRunning(server, nowNanos)) {
             health.endDrain(time(nowNanos));
         }
     }
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/OverdueTries.java
@@ -0,0 +1,26 @@
+package io.coppershelf.health.internal;
+
+import java.util.List;
+
+/** Finds the tries that are not worth waiting for on a sick server. */
+final class OverdueTries {
+    /** A try that is so surprisingly late is overdue. */
+    private static final double OVERDUE_NATS = 6.0;
+
+    private OverdueTries() {}
+
+    /** Returns the tries in flight that may be repeated and are overdue. */
+    static List<WatchedTry> of(ServerEvidence evidence, UsualTimes usualTimes, long observedNanos) {
+        return evidence.inFlight().stream()
+                .filter(WatchedTry::isIdempotent)
+                .filter(watched -> isOverdue(watched, usualTimes, observedNanos))
+                .toList();
+    }
+
+    private static boolean isOverdue(WatchedTry watched, UsualTimes usualTimes, long observedNanos) {
+        return usualTimes
+                .usual(watched.route())
+                .map(usual -> usual.surprise(watched.ageNanos(observedNanos)) >= OVERDUE_NATS)
+                .orElse(false);
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/health/internal/ServerHealth.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/ServerHealth.java
@@ -11,10 +11,10 @@
 public final class ServerHealth {
     private static final long PROBE_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long TRIAL_INTERVAL_NANOS = Duration.ofMillis(200).toNanos();
+    /** A probation without any repeatable work to try the server with ends after this time. */
+    private static final long UNTRIED_LIMIT_NANOS = Duration.ofSeconds(30).toNanos();
     /** How long suspicion of all servers at once must last before one of them may be ejected. */
     private static final long COMMON_SUSPICION_NANOS = Duration.ofSeconds(3).toNanos();
-    /** A try that is so surprisingly late on a sick server is cancelled if it may be repeated. */
-    private static final double OVERDUE_NATS = 6.0;
     /** Suspicion ends at this share of the evidence at which it began. */
     private static final double HYSTERESIS = 0.5;
 
@@ -215,13 +215,17 @@
         renewRight(time);
         if (finding.nats() >= suspicionNats()) {
             holdAgain(time);
-        } else if (goodAnswers >= policy.probationAnswers()) {
+        } else if (goodAnswers >= policy.probationAnswers() || isUntried(time.nowNanos())) {
             coldStart.begin(time.nowNanos());
-            change(ServerCondition.IN_SERVICE, "probation passed", time);
+            change(ServerCondition.IN_SERVICE, "probation over", time);
             dropRight();
         }
     }
 
+    private boolean isUntried(long nowNanos) {
+        return trialNanos - sinceNanos < 0 && nowNanos - sinceNanos >= UNTRIED_LIMIT_NANOS;
+    }
+
     private void renewRight(GroupTime time) {
         if (right.shouldAsk(time.nowNanos())) {
             commands.askEjection(server, reason);
@@ -267,18 +271,9 @@
         if (!sick) {
             return;
         }
-        for (WatchedTry watched : evidence.inFlight()) {
-            if (watched.isIdempotent() && isOverdue(watched, usualTimes, observedNanos) && watched.markCancelled()) {
-                commands.cancel(watched.tryId(), server);
-            }
-        }
-    }
-
-    private static boolean isOverdue(WatchedTry watched, UsualTimes usualTimes, long observedNanos) {
-        return usualTimes
-                .usual(watched.route())
-                .map(usual -> usual.surprise(watched.ageNanos(observedNanos)) >= OVERDUE_NATS)
-                .orElse(false);
+        OverdueTries.of(evidence, usualTimes, observedNanos).stream()
+                .filter(WatchedTry::markCancelled)
+                .forEach(watched -> commands.cancel(watched.tryId(), server));
     }
 
     /** Returns the slots that new work may use, 0 if the server gets none. */
--- a/coppershelf/src/test/java/io/coppershelf/admission/ServerGroupConditionTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/admission/ServerGroupConditionTest.java
@@ -96,6 +96,8 @@
         driver.load(CLAIM, Duration.ofSeconds(3));
         assertThat(driver.all(Dispatch.class).stream().map(Dispatch::server).distinct())
                 .containsExactly("b");
+        driver.load(CLAIM, Duration.ofSeconds(28));
+        assertThat(driver.status("a").condition()).isEqualTo(ServerCondition.IN_SERVICE);
     }
 
     @Test
