--- a/coppershelf/src/test/java/io/coppershelf/claim/internal/ClaimFleetTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/claim/internal/ClaimFleetTest.java
@@ -62,7 +62,8 @@
             loss = share;
             for (int i = 0; i < 6; i++) {
                 String attempt = "attempt" + i;
-                at(Duration.ofMillis(random.nextInt(i < 3 ? 600 : 25_000)), () -> attempt(attempt));
+                int delay = i < 3 ? random.nextInt(600) : 1_200 + random.nextInt(9_000);
+                at(Duration.ofMillis(delay), () -> attempt(attempt));
             }
             List<String> lost = ClaimHistory.holders(view("vm0"), KEY).subList(0, restarts);
             for (int i = 0; i < restarts; i++) {
