A cancelled try closes no connection but its own

Cause: the JDK's client closes the connection of a cancelled exchange even after the exchange has ended and the connection has gone on to another one. Ruled out: the stand-in (no loss straight to it), the body reader and the limits of connections (120,000 tries without a cancellation, none lost). Change: once the head of the answer is there, only the reading of its body is stopped; the exchange itself is cancelled only before that. At saturation deadline-passed answers remain, from another cause.

--- a/coppershelf/src/main/java/io/coppershelf/backend/internal/AnswerHandler.java
+++ b/coppershelf/src/main/java/io/coppershelf/backend/internal/AnswerHandler.java
@@ -15,7 +15,7 @@
  */
 final class AnswerHandler implements BodyHandler<byte[]> {
     private final BackendRequest request;
-    private volatile boolean isHeadSeen;
+    private volatile Optional<BoundedBody> body = Optional.empty();
 
     AnswerHandler(BackendRequest request) {
         this.request = request;
@@ -23,15 +23,21 @@
 
     /** Returns whether the head of the answer arrived. */
     boolean isHeadSeen() {
-        return isHeadSeen;
+        return body.isPresent();
+    }
+
+    /** Stops reading the body, which closes its connection; does nothing before the head has arrived. */
+    void abandon() {
+        body.ifPresent(BoundedBody::abandon);
     }
 
     @Override
     public BodySubscriber<byte[]> apply(ResponseInfo info) {
-        isHeadSeen = true;
-        return fault(info)
+        BoundedBody created = fault(info)
                 .map(fault -> BoundedBody.refusing(fault))
                 .orElseGet(() -> BoundedBody.upTo(request.largestAnswer()));
+        body = Optional.of(created);
+        return created;
     }
 
     private Optional<CoppershelfException> fault(ResponseInfo info) {
--- a/coppershelf/src/main/java/io/coppershelf/backend/internal/BoundedBody.java
+++ b/coppershelf/src/main/java/io/coppershelf/backend/internal/BoundedBody.java
@@ -17,7 +17,7 @@
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     private final Optional<CoppershelfException> refusal;
     private final int limit;
-    private Subscription subscription;
+    private volatile Subscription subscription;
 
     private BoundedBody(Optional<CoppershelfException> refusal, int limit) {
         this.refusal = refusal;
@@ -79,6 +79,16 @@
         subscription.cancel();
     }
 
+    /** Stops reading, if the body is not whole yet; its connection is closed and no other. */
+    void abandon() {
+        Optional<Subscription> reading = Optional.ofNullable(subscription);
+        boolean isUnfinished = whole.completeExceptionally(CoppershelfException.of(
+                ErrorKind.DEADLINE_PASSED, "the try was given up while its answer was on its way"));
+        if (isUnfinished) {
+            reading.ifPresent(Subscription::cancel);
+        }
+    }
+
     @Override
     public void onError(Throwable failure) {
         whole.completeExceptionally(failure);
--- a/coppershelf/src/main/java/io/coppershelf/backend/internal/HttpTry.java
+++ b/coppershelf/src/main/java/io/coppershelf/backend/internal/HttpTry.java
@@ -32,6 +32,7 @@
     private final CompletableFuture<BackendResult> result = new CompletableFuture<>();
     private final AtomicBoolean isCancelled = new AtomicBoolean();
     private volatile Optional<ErrorKind> givenUpAs = Optional.empty();
+    private final AnswerHandler handler;
     private volatile CompletableFuture<HttpResponse<byte[]>> http = new CompletableFuture<>();
 
     HttpTry(BackendRequest request, HttpClients clients, ConnectionLimits connections, TimeSource time) {
@@ -39,6 +40,7 @@
         this.clients = clients;
         this.connections = connections;
         this.time = time;
+        this.handler = new AnswerHandler(request);
     }
 
     /** Sends the try, unless it is too late or the server has no connection left for it. */
@@ -58,7 +60,6 @@
     }
 
     private void sendNow(long remainingMillis, Semaphore connection) {
-        AnswerHandler handler = new AnswerHandler(request);
         try {
             HttpRequest httpRequest = ServerProtocol.tryRequest(request, remainingMillis);
             http = clients.current().sendAsync(httpRequest, handler);
@@ -69,7 +70,7 @@
         }
         var unused = http.whenComplete((answer, failure) -> {
             connection.release();
-            end(failure == null ? answered(answer) : failed(failure, handler));
+            end(failure == null ? answered(answer) : failed(failure));
         });
     }
 
@@ -86,7 +87,7 @@
         return BackendResult.answered(whole, state);
     }
 
-    private BackendResult failed(Throwable failure, AnswerHandler handler) {
+    private BackendResult failed(Throwable failure) {
         if (givenUpAs.isPresent()) {
             return BackendResult.failed(givenUpAs.get(), ServerState.UNSTATED);
         }
@@ -135,10 +136,19 @@
         giveUp(ErrorKind.DEADLINE_PASSED);
     }
 
-    /** Closes the connection of the try and sets the result, unless the answer has just come. */
+    /**
+     * Closes the connection of the try and sets the result, unless the answer has just come.
+     *
+     * <p>The JDK's client closes the connection of a cancelled exchange even after it went back to the pool and on to
+     * another exchange. So once the head is there, only the reading of the body is stopped.
+     */
     private void giveUp(ErrorKind kind) {
         givenUpAs = Optional.of(kind);
-        http.cancel(true);
+        if (handler.isHeadSeen()) {
+            handler.abandon();
+        } else {
+            http.cancel(true);
+        }
         end(kind);
     }
 
