Health: times below 25 ms are no evidence

Cause: with a usual time of 1 ms the scheduling of a busy daemon looked like stalls of healthy servers; their reads were cancelled and callers were told deadline-passed. Change: service times and usual times below 25 ms count as 25 ms.

--- a/coppershelf/src/main/java/io/coppershelf/health/internal/UsualTime.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/internal/UsualTime.java
@@ -10,9 +10,17 @@
     /** The standard deviation of the standard logistic distribution. */
     private static final double LOGISTIC_DEVIATION = Math.PI / Math.sqrt(3);
 
+    /**
+     * Times below this one count as equal to it: the observer's own scheduling under load takes as long, and an answer
+     * within it is of no harm to a caller.
+     */
+    private static final double RESOLUTION_NANOS = 25e6;
+
+    private static final double LOG_RESOLUTION = Math.log(RESOLUTION_NANOS);
+
     /** Returns how far a service time is above the usual one, as a difference of logarithms. */
     public double deviation(long nanos) {
-        return Math.log(Math.max(1.0, (double) nanos)) - logMean;
+        return Math.log(Math.max(RESOLUTION_NANOS, (double) nanos)) - Math.max(LOG_RESOLUTION, logMean);
     }
 
     /**
--- a/coppershelf/src/test/java/io/coppershelf/health/internal/StallDetectorTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/health/internal/StallDetectorTest.java
@@ -33,6 +33,15 @@
         assertThat(evidence).isAtMost(most);
     }
 
+    @Test
+    void findsNothingInTimesBelowTheResolution() {
+        UsualTime veryShort = new UsualTime(Math.log(1e6), 0.3);
+        UsualTime atTheResolution = new UsualTime(Math.log(25e6), 0.3);
+        long age = Duration.ofMillis(24).toNanos();
+        assertThat(veryShort.deviation(age)).isEqualTo(0.0);
+        assertThat(veryShort.surprise(10 * age)).isWithin(1e-9).of(atTheResolution.surprise(10 * age));
+    }
+
     @Test
     void isWeakerForATryThatWasOvertaken() {
         WatchedTry watched = new WatchedTry("try", ROUTE, true, 0, 0);
