--- a/bench/src/main/java/io/coppershelf/bench/slopes/HeapMeter.java
+++ b/bench/src/main/java/io/coppershelf/bench/slopes/HeapMeter.java
@@ -1,6 +1,6 @@
 package io.coppershelf.bench.slopes;
 
-import java.lang.ref.Reference;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 
 /** Measures the heap that an object retains. */
@@ -9,15 +9,22 @@
 
     private HeapMeter() {}
 
-    /** Returns the bytes retained by what the supplier creates. */
+    /**
+     * Returns the bytes retained by what the supplier creates.
+     *
+     * <p>It is created by a thread of its own, since a frame that has returned may keep alive what it pointed to.
+     */
     static double retainedBytes(Supplier<Object> creation) {
+        return CompletableFuture.supplyAsync(() -> growth(creation), task -> new Thread(task, "creation").start())
+                .join();
+    }
+
+    private static double growth(Supplier<Object> creation) {
         long before = usedBytes();
-        Object created = creation.get();
-        try {
-            return usedBytes() - before;
-        } finally {
-            Reference.reachabilityFence(created);
-        }
+        Object[] holder = {creation.get()};
+        double growth = usedBytes() - before;
+        holder[0] = null;
+        return growth;
     }
 
     private static long usedBytes() {
