--- a/bin/lib/bench-slopes.sh
+++ b/bin/lib/bench-slopes.sh
@@ -1,1 +1,1 @@
-java -Xmx6g -XX:+UseSerialGC -cp "$(bench_classpath)" io.coppershelf.bench.BenchMain slopes "$@"
+java -Xmx6g -XX:+UseSerialGC -XX:MarkSweepAlwaysCompactCount=1 -cp "$(bench_classpath)" io.coppershelf.bench.BenchMain slopes "$@"
