--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -8,7 +8,7 @@
     if [ "${SKIP_BUILD:-0}" = 1 ]; then
         return
     fi
-    echo "Building ..."
+    echo "Building ..." >&2
     if ! mvn -B -ntp -q -DskipTests package >"$RUN_DIR/build.log" 2>&1; then
         cat "$RUN_DIR/build.log" >&2
         exit 1
