--- a/bench/src/main/java/io/coppershelf/bench/fleet/EjectionLog.java
+++ b/bench/src/main/java/io/coppershelf/bench/fleet/EjectionLog.java
@@ -6,6 +6,7 @@
 import io.coppershelf.operator.StampedEvent;
 import io.coppershelf.operator.TimelineDocument;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -39,11 +40,7 @@
         HttpClient http = HttpClient.newHttpClient();
         List<StampedEvent> events = new ArrayList<>();
         for (URI operator : operators) {
-            HttpRequest request = HttpRequest.newBuilder(operator.resolve("/timeline?after=0"))
-                    .build();
-            String text =
-                    http.send(request, HttpResponse.BodyHandlers.ofString()).body();
-            events.addAll(TimelineDocument.fromJson(JSON.readTree(text)).events());
+            events.addAll(events(http, operator));
         }
         return new EjectionLog(events.stream()
                 .filter(event -> event.event().part().equals("health"))
@@ -51,6 +48,19 @@
                 .toList());
     }
 
+    private static List<StampedEvent> events(HttpClient http, URI operator) throws IOException, InterruptedException {
+        HttpRequest request =
+                HttpRequest.newBuilder(operator.resolve("/timeline?after=0")).build();
+        try {
+            String text =
+                    http.send(request, HttpResponse.BodyHandlers.ofString()).body();
+            return TimelineDocument.fromJson(JSON.readTree(text)).events();
+        } catch (ConnectException e) {
+            // The daemon was killed, and its events with it.
+            return List.of();
+        }
+    }
+
     /**
      * Returns how long after the given wall clock the server was first taken out of the usual choice: suspected or
      * ejected.
