--- a/bench/src/main/java/io/coppershelf/bench/BenchProgram.java
+++ b/bench/src/main/java/io/coppershelf/bench/BenchProgram.java
@@ -2,6 +2,7 @@
 
 import io.coppershelf.bench.backend.BackendMain;
 import io.coppershelf.bench.demo.DemoMain;
+import io.coppershelf.bench.fleet.FleetBench;
 import io.coppershelf.bench.overhead.OverheadBench;
 import io.coppershelf.bench.platform.PlatformMain;
 import io.coppershelf.bench.slopes.SlopesBench;
@@ -20,6 +21,7 @@
             new BenchProgram("backends", BackendMain::main),
             new BenchProgram("platform", PlatformMain::main),
             new BenchProgram("demo", DemoMain::main),
+            new BenchProgram("fleet", FleetBench::main),
             new BenchProgram("slopes", SlopesBench::main),
             new BenchProgram("overhead", OverheadBench::main));
 
--- a/bench/src/main/java/io/coppershelf/bench/backend/ActiveFault.java
+++ b/bench/src/main/java/io/coppershelf/bench/backend/ActiveFault.java
@@ -31,7 +31,7 @@
 
     /** Returns whether requests for the path are answered with an error. */
     boolean isFailing(String path) {
-        return fault == ServerFault.ERRORS && path.endsWith(argument);
+        return fault == ServerFault.ERRORS && path.contains(argument);
     }
 
     /** Returns whether answers to the try are lost. */
--- a/bench/src/main/java/io/coppershelf/bench/backend/BackendAdmin.java
+++ b/bench/src/main/java/io/coppershelf/bench/backend/BackendAdmin.java
@@ -47,6 +47,14 @@
         return read().get("begunByServer").path(server).asLong(0);
     }
 
+    /** Returns how many pieces of work a server was sent. */
+    public long received(String server) throws IOException, InterruptedException {
+        HttpRequest request = HttpRequest.newBuilder(base.resolve("/received?server=" + server))
+                .build();
+        return Long.parseLong(
+                http.send(request, HttpResponse.BodyHandlers.ofString()).body());
+    }
+
     private JsonNode read() throws IOException, InterruptedException {
         HttpRequest request =
                 HttpRequest.newBuilder(base.resolve("/executions")).build();
--- a/bench/src/main/java/io/coppershelf/bench/backend/BackendFarm.java
+++ b/bench/src/main/java/io/coppershelf/bench/backend/BackendFarm.java
@@ -69,6 +69,7 @@
     private void startAdmin() {
         admin.createContext("/fault", this::switchFault);
         admin.createContext("/executions", this::tellExecutions);
+        admin.createContext("/received", this::tellReceived);
         admin.setExecutor(workers);
         admin.start();
     }
@@ -87,6 +88,11 @@
         answers.sendText(exchange, 200, server + " " + name + "\n");
     }
 
+    private void tellReceived(HttpExchange exchange) throws IOException {
+        String server = query(exchange).getOrDefault("server", "");
+        answers.sendText(exchange, 200, Long.toString(log.received(server)));
+    }
+
     private void tellExecutions(HttpExchange exchange) throws IOException {
         ObjectNode root = JSON.createObjectNode();
         root.set("executions", JSON.valueToTree(log.executions()));
--- a/bench/src/main/java/io/coppershelf/bench/backend/BackendServerStandIn.java
+++ b/bench/src/main/java/io/coppershelf/bench/backend/BackendServerStandIn.java
@@ -100,6 +100,7 @@
     }
 
     private void take(HttpExchange exchange) throws IOException {
+        log.receive(spec.name());
         exchange.getRequestBody().readAllBytes();
         String tryId = header(exchange, BackendHeaders.TRY_ID);
         String deadline = header(exchange, BackendHeaders.DEADLINE_MS);
--- a/bench/src/main/java/io/coppershelf/bench/backend/ExecutionLog.java
+++ b/bench/src/main/java/io/coppershelf/bench/backend/ExecutionLog.java
@@ -10,6 +10,18 @@
 final class ExecutionLog {
     private final ConcurrentMap<String, Integer> executions = new ConcurrentHashMap<>();
     private final ConcurrentMap<String, LongAdder> begunByServer = new ConcurrentHashMap<>();
+    private final ConcurrentMap<String, LongAdder> receivedByServer = new ConcurrentHashMap<>();
+
+    /** Records that a server was sent a piece of work, whether it runs it or not. */
+    void receive(String server) {
+        receivedByServer.computeIfAbsent(server, name -> new LongAdder()).increment();
+    }
+
+    /** Returns how many pieces of work a server was sent. */
+    long received(String server) {
+        LongAdder count = receivedByServer.get(server);
+        return count == null ? 0 : count.sum();
+    }
 
     /** Records that a server begins to run a piece of work. */
     void begin(String server, String workId) {
--- a/bench/src/main/java/io/coppershelf/bench/backend/ServerFault.java
+++ b/bench/src/main/java/io/coppershelf/bench/backend/ServerFault.java
@@ -10,7 +10,7 @@
     STALL,
     /** Runs requests, with the service time multiplied by the argument. */
     SLOW,
-    /** Answers 500 to requests whose path ends with the argument, all with an empty argument. */
+    /** Answers 500 to requests whose path contains the argument. */
     ERRORS,
     /** Stalls and recovers in turns of the argument in milliseconds. */
     FLAP,
--- a/bench/src/main/java/io/coppershelf/bench/load/LoadGenerator.java
+++ b/bench/src/main/java/io/coppershelf/bench/load/LoadGenerator.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
@@ -59,7 +60,7 @@
         URI target = plan.targets().get(index % plan.targets().size());
         double factor = -Math.log(1.0 - random.nextDouble());
         long micros = Math.round(plan.meanWork().toNanos() / 1e3 * factor);
-        HttpRequest.Builder builder = HttpRequest.newBuilder(target.resolve(route.path()))
+        HttpRequest.Builder builder = HttpRequest.newBuilder(target.resolve(path(route, workId)))
                 .timeout(route.deadline().plus(GRACE))
                 .header(BackendHeaders.WORK_ID, workId)
                 .header(BackendHeaders.WORK_MICROS, Long.toString(micros))
@@ -76,10 +77,13 @@
                 .build();
     }
 
+    private static String path(RouteSpec route, String workId) {
+        return route.path().endsWith("*") ? route.path().replace("*", workId) : route.path();
+    }
+
     private CallResult result(String workId, RouteSpec route, HttpResponse<byte[]> answer, long at, long latency) {
         if (answer == null) {
-            return new CallResult(
-                    workId, route, 0, java.util.Optional.empty(), java.util.Optional.empty(), false, at, latency);
+            return new CallResult(workId, route, 0, Optional.empty(), Optional.empty(), false, at, latency);
         }
         boolean whole = Arrays.equals(answer.body(), ExpectedAnswer.of(workId, plan.answerBytes()));
         return new CallResult(
