--- a/bench/src/main/java/io/coppershelf/bench/BenchProgram.java
+++ b/bench/src/main/java/io/coppershelf/bench/BenchProgram.java
@@ -6,6 +6,8 @@
 import io.coppershelf.bench.overhead.OverheadBench;
 import io.coppershelf.bench.platform.PlatformMain;
 import io.coppershelf.bench.slopes.SlopesBench;
+import io.coppershelf.bench.tickets.CuttableDaemon;
+import io.coppershelf.bench.tickets.TicketsBench;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
@@ -22,6 +24,8 @@
             new BenchProgram("platform", PlatformMain::main),
             new BenchProgram("demo", DemoMain::main),
             new BenchProgram("fleet", FleetBench::main),
+            new BenchProgram("tickets", TicketsBench::main),
+            new BenchProgram("cuttable-daemon", CuttableDaemon::main),
             new BenchProgram("slopes", SlopesBench::main),
             new BenchProgram("overhead", OverheadBench::main));
 
--- a/bench/src/main/java/io/coppershelf/bench/platform/PlatformFault.java
+++ b/bench/src/main/java/io/coppershelf/bench/platform/PlatformFault.java
@@ -6,6 +6,8 @@
     NONE,
     /** Closes each connection without an answer. */
     DOWN,
+    /** Gives the next ticket to the first reader, and is down from then on. */
+    DOWN_AFTER_READER,
     /** Serves what it held when the fault was switched on, whatever is published. */
     STALE,
     /** Serves only the first half of the tickets, at their lower position, and an older list of VMs. */
--- a/bench/src/main/java/io/coppershelf/bench/platform/PlatformStandIn.java
+++ b/bench/src/main/java/io/coppershelf/bench/platform/PlatformStandIn.java
@@ -127,8 +127,8 @@
     private void handle(HttpExchange exchange) throws IOException {
         try (exchange) {
             switch (exchange.getRequestURI().getPath()) {
-                case "/tickets" -> watch(exchange, Replica::hasTicketsFor, Replica::ticketsAfter);
-                case "/vms" -> watch(exchange, Replica::hasVmsFor, (replica, known) -> replica.vmsAnswer());
+                case "/tickets" -> watch(exchange, true, Replica::hasTicketsFor, Replica::ticketsAfter);
+                case "/vms" -> watch(exchange, false, Replica::hasVmsFor, (replica, known) -> replica.vmsAnswer());
                 case "/control/tickets" -> {
                     publishTicket(body(exchange));
                     answer(exchange, OK, "published\n");
@@ -157,7 +157,8 @@
         }
     }
 
-    private void watch(HttpExchange exchange, Change change, Answer answer) throws IOException, InterruptedException {
+    private void watch(HttpExchange exchange, boolean isOfTickets, Change change, Answer answer)
+            throws IOException, InterruptedException {
         long after;
         long waitMillis;
         try {
@@ -167,11 +168,12 @@
             answer(exchange, BAD_REQUEST, "after and wait must be numbers\n");
             return;
         }
-        Replica replica = await(served -> change.isFor(served, after), waitMillis);
-        send(exchange, replica, served -> answer.of(served, after).toString());
+        Served served = await(replica -> change.isFor(replica, after), waitMillis, isOfTickets);
+        send(exchange, served, replica -> answer.of(replica, after).toString());
     }
 
-    private synchronized Replica await(Predicate<Replica> condition, long waitMillis) throws InterruptedException {
+    private synchronized Served await(Predicate<Replica> condition, long waitMillis, boolean isOfTickets)
+            throws InterruptedException {
         calls++;
         waiting++;
         long end = System.nanoTime() + waitMillis * 1_000_000;
@@ -181,7 +183,11 @@
                 wait(left);
                 left = (end - System.nanoTime()) / 1_000_000;
             }
-            return served();
+            Served answer = new Served(served(), fault);
+            if (fault == PlatformFault.DOWN_AFTER_READER && isOfTickets && condition.test(published)) {
+                setFault(PlatformFault.DOWN);
+            }
+            return answer;
         } finally {
             waiting--;
         }
@@ -191,6 +197,7 @@
         boolean isServing = fault == PlatformFault.NONE
                 || fault == PlatformFault.STALE
                 || fault == PlatformFault.ROLLED_BACK
+                || fault == PlatformFault.DOWN_AFTER_READER
                 || fault == PlatformFault.SLOW;
         return isServing && !condition.test(served());
     }
@@ -199,22 +206,18 @@
         return fault == PlatformFault.STALE || fault == PlatformFault.ROLLED_BACK ? frozen : published;
     }
 
-    private synchronized PlatformFault fault() {
-        return fault;
-    }
-
-    private void send(HttpExchange exchange, Replica replica, Function<Replica, String> text)
+    private void send(HttpExchange exchange, Served served, Function<Replica, String> text)
             throws IOException, InterruptedException {
-        switch (fault()) {
+        switch (served.fault()) {
             case DOWN -> {}
             case GARBAGE -> answer(exchange, OK, "\u0000{garbage".repeat(GARBAGE_BYTES));
             case OVERSIZED -> answer(exchange, OK, " ".repeat(OVERSIZED_BYTES));
-            case TRUNCATED -> truncate(exchange, text.apply(replica));
+            case TRUNCATED -> truncate(exchange, text.apply(served.replica()));
             case SLOW -> {
                 Thread.sleep(SLOW_MILLIS);
-                answer(exchange, OK, text.apply(replica));
+                answer(exchange, OK, text.apply(served.replica()));
             }
-            case NONE, STALE, ROLLED_BACK -> answer(exchange, OK, text.apply(replica));
+            case NONE, DOWN_AFTER_READER, STALE, ROLLED_BACK -> answer(exchange, OK, text.apply(served.replica()));
         }
     }
 
@@ -245,6 +248,9 @@
         return 0;
     }
 
+    /** What a call is answered from, and the fault that befalls it. */
+    private record Served(Replica replica, PlatformFault fault) {}
+
     /** Whether a replica has something to say to a watch. */
     private interface Change {
         boolean isFor(Replica replica, long known);
--- /dev/null
+++ b/bin/lib/bench-tickets.sh
@@ -0,0 +1,50 @@
+# 36 daemons, a platform without other tickets, and links that can be cut; the spread time of tickets under each fault.
+#   --daemons N  --tickets N
+
+DAEMONS=36
+TICKETS=10
+while [ $# -gt 0 ]; do
+    case "$1" in
+        --daemons) DAEMONS=$2 ;;
+        --tickets) TICKETS=$2 ;;
+        *)
+            echo "unknown option \"$1\"" >&2
+            exit 2
+            ;;
+    esac
+    shift 2
+done
+
+CUTS="$RUN_DIR/cuts"
+: >"$CUTS"
+
+# start_daemon N DC: a daemon whose links the file of cuts can cut.
+start_daemon() {
+    write_settings "$RUN_DIR/vm-$1.json" "$1" "$2"
+    # shellcheck disable=SC2086
+    start "vm-$1" java $DAEMON_JAVA_OPTIONS -cp "$(bench_classpath)" io.coppershelf.bench.BenchMain \
+        cuttable-daemon --settings "$RUN_DIR/vm-$1.json" --cuts "$CUTS"
+}
+
+# ids_of REMAINDER...: the ids of the VMs whose number has one of the remainders when divided by 4.
+ids_of() {
+    local list="" n remainder
+    for n in $(seq 1 "$DAEMONS"); do
+        for remainder in "$@"; do
+            [ $((n % 4)) -eq "$remainder" ] && list="$list${list:+,}vm-$n"
+        done
+    done
+    echo "$list"
+}
+
+data_centres=$(customer_data_centres association)
+# shellcheck disable=SC2086
+write_vms "$RUN_DIR/vms.json" "$DAEMONS" $data_centres
+start platform java -Xmx128m -cp "$(bench_classpath)" io.coppershelf.bench.BenchMain \
+    platform --port "$PLATFORM_PORT" --vms "$RUN_DIR/vms.json"
+wait_for_line platform "listens on"
+start_daemons association "$DAEMONS"
+echo "$DAEMONS daemons are ready."
+java -Xmx256m -cp "$(bench_classpath)" io.coppershelf.bench.BenchMain tickets \
+    --operators "$(operators "$DAEMONS")" --platform "http://127.0.0.1:$PLATFORM_PORT" --cuts "$CUTS" \
+    --inside "$(ids_of 1)" --outside "$(ids_of 0 2 3)" --tickets "$TICKETS"
--- a/coppershelf/src/main/java/io/coppershelf/daemon/Daemon.java
+++ b/coppershelf/src/main/java/io/coppershelf/daemon/Daemon.java
@@ -79,7 +79,18 @@
      * and the process exits with status 0.
      */
     public static void runUntilTerminated(Settings settings) throws InterruptedException {
-        Daemon daemon = start(settings);
+        runUntilTerminated(settings, List.of());
+    }
+
+    /**
+     * Does the same with some parts started before all others.
+     *
+     * @param first the parts to start first
+     */
+    public static void runUntilTerminated(Settings settings, List<Part> first) throws InterruptedException {
+        List<Part> parts = new ArrayList<>(first);
+        parts.addAll(DaemonParts.beforeCaller());
+        Daemon daemon = start(settings, parts, new CallerPart());
         Runtime.getRuntime()
                 .addShutdownHook(new Thread(
                         () -> {
--- a/coppershelf/src/main/java/io/coppershelf/peer/PeerPart.java
+++ b/coppershelf/src/main/java/io/coppershelf/peer/PeerPart.java
@@ -13,24 +13,13 @@
 
 /**
  * The part of the daemon that talks to peers. The settings, the fleet view and the operator desk must be registered
- * before {@link #register} is called on this part.
+ * before {@link #register} is called on this part, and so must a {@link LinkFilter} where a test wants one.
  */
 public final class PeerPart implements Part {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-    private final LinkFilter filter;
     private Optional<NioPeerExchange> exchange = Optional.empty();
 
-    /** Creates the part of the product. */
-    public PeerPart() {
-        this(LinkFilter.ALL);
-    }
-
-    /** Creates a part whose links pass through the filter. */
-    public PeerPart(LinkFilter filter) {
-        this.filter = filter;
-    }
-
     @Override
     public String name() {
         return "peer";
@@ -40,7 +29,7 @@
     public void register(ServiceRegistry registry) {
         NioPeerExchange created = new NioPeerExchange(
                 registry.require(FleetView.Source.NAME),
-                filter,
+                registry.find(LinkFilter.NAME).orElse(LinkFilter.ALL),
                 registry.require(OperatorDesk.NAME).metrics(),
                 registry.require(Settings.NAME).trafficThreads());
         exchange = Optional.of(created);
--- a/coppershelf/src/main/java/io/coppershelf/ticket/internal/spread/PlatformWatch.java
+++ b/coppershelf/src/main/java/io/coppershelf/ticket/internal/spread/PlatformWatch.java
@@ -23,6 +23,7 @@
     private long position;
     private boolean isReading;
     private boolean hasRead;
+    private boolean hasMore;
     private boolean hasTried;
     private long readBeganNanos;
     private long nextReadNanos;
@@ -36,7 +37,7 @@
         wholeReadNanos = nowNanos;
     }
 
-    /** Returns whether the platform has answered this VM. */
+    /** Returns whether this VM has read all that the platform had. */
     boolean hasRead() {
         return hasRead;
     }
@@ -69,8 +70,8 @@
         if (isUnderWay || nowNanos - nextReadNanos < 0) {
             return Optional.empty();
         }
-        if (!hasRead) {
-            return Optional.of(begin(0, Duration.ZERO, nowNanos));
+        if (!hasRead || hasMore) {
+            return Optional.of(begin(position, Duration.ZERO, nowNanos));
         }
         if (isWatcher) {
             return Optional.of(watch(nowNanos));
@@ -84,12 +85,14 @@
     }
 
     /**
-     * Takes in an answer. A position below the one reached tells of a stale or restored platform and is taken over. A
-     * platform that answers at once though nothing is new is not asked again at once.
+     * Takes in an answer. One that moves the position may be followed by more. A position below the one reached tells
+     * of a stale or restored platform and is taken over. A platform that answers at once though nothing is new is not
+     * asked again at once.
      */
     void answered(long newPosition, boolean isNew, long nowNanos) {
         ended();
-        if (!isNew && nowNanos - readBeganNanos < RETRY_NANOS) {
+        boolean isAtOnce = !isNew && nowNanos - readBeganNanos < RETRY_NANOS;
+        if (isAtOnce || newPosition < position) {
             nextReadNanos = Math.max(nextReadNanos, nowNanos + RETRY_NANOS);
         }
         hasRead = true;
@@ -100,6 +103,7 @@
     /** Takes in that there was no answer. */
     void failed(long nowNanos) {
         ended();
+        hasMore = false;
         nextReadNanos = Math.max(nextReadNanos, nowNanos + RETRY_NANOS / 2 + random.nextLong(RETRY_NANOS));
     }
 
--- a/coppershelf/src/test/java/io/coppershelf/ticket/internal/spread/FakeSpreadFleet.java
+++ b/coppershelf/src/test/java/io/coppershelf/ticket/internal/spread/FakeSpreadFleet.java
@@ -23,6 +23,7 @@
 /** Ticket spread of many VMs in virtual time, joined by links that can lose and cut, with a platform that can fail. */
 final class FakeSpreadFleet {
     private static final long MILLI = 1_000_000L;
+    private static final int TICKETS_PER_ANSWER = 2;
     private static final long TIMEOUT_MILLIS = 1_000;
 
     final Map<String, Node> nodes = new TreeMap<>();
@@ -215,8 +216,10 @@
                 after(10, () -> answerWatch(read, untilNanos));
                 return;
             }
-            List<Ticket> news = visible.subList((int) Math.min(read.position(), visible.size()), visible.size());
-            after(1, () -> on(new SpreadEvent.PlatformRead(read.position(), visible.size(), news)));
+            int from = (int) Math.min(read.position(), visible.size());
+            int to = Math.min(from + TICKETS_PER_ANSWER, visible.size());
+            List<Ticket> news = visible.subList(from, to);
+            after(1, () -> on(new SpreadEvent.PlatformRead(read.position(), to, news)));
         }
 
         private void ask(Vm target, Function<Node, SpreadEvent> handler, SpreadEvent failure) {
