--- a/bench/src/main/java/io/coppershelf/bench/BenchProgram.java
+++ b/bench/src/main/java/io/coppershelf/bench/BenchProgram.java
@@ -1,6 +1,7 @@
 package io.coppershelf.bench;
 
 import io.coppershelf.bench.backend.BackendMain;
+import io.coppershelf.bench.decisions.DecisionsBench;
 import io.coppershelf.bench.demo.DemoMain;
 import io.coppershelf.bench.fleet.FleetBench;
 import io.coppershelf.bench.overhead.OverheadBench;
@@ -27,7 +28,8 @@
             new BenchProgram("tickets", TicketsBench::main),
             new BenchProgram("cuttable-daemon", CuttableDaemon::main),
             new BenchProgram("slopes", SlopesBench::main),
-            new BenchProgram("overhead", OverheadBench::main));
+            new BenchProgram("overhead", OverheadBench::main),
+            new BenchProgram("decisions", DecisionsBench::main));
 
     static Optional<BenchProgram> named(String name) {
         return ALL.stream().filter(program -> program.name.equals(name)).findFirst();
