--- a/bench/src/main/java/io/coppershelf/bench/fleet/EjectionLog.java
+++ b/bench/src/main/java/io/coppershelf/bench/fleet/EjectionLog.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.coppershelf.health.ServerCondition;
+import io.coppershelf.operator.HybridClock;
 import io.coppershelf.operator.StampedEvent;
 import io.coppershelf.operator.TimelineDocument;
 import java.io.IOException;
@@ -9,12 +10,14 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -22,6 +25,7 @@
 final class EjectionLog {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String INTO_EJECTION = " to " + ServerCondition.EJECTED;
+    private static final String INTO_SUSPICION = " to " + ServerCondition.SUSPECTED;
     private static final String OUT_OF_EJECTION = ServerCondition.EJECTED + " to ";
 
     private final List<StampedEvent> changes;
@@ -47,6 +51,20 @@
                 .toList());
     }
 
+    /**
+     * Returns how long after the given wall clock the server was first taken out of the usual choice: suspected or
+     * ejected.
+     */
+    Optional<Duration> suspectedAfter(String server, long sinceMillis) {
+        return changes.stream()
+                .filter(change -> server(change).equals(server))
+                .filter(change -> isEjection(change) || change.event().text().contains(INTO_SUSPICION))
+                .map(change -> HybridClock.millis(change.stamp()))
+                .filter(millis -> millis >= sinceMillis)
+                .findFirst()
+                .map(millis -> Duration.ofMillis(millis - sinceMillis));
+    }
+
     /** Returns how often a server other than the given ones was ejected. */
     long ejectionsExcept(Collection<String> servers) {
         return changes.stream()
--- a/bench/src/main/java/io/coppershelf/bench/fleet/FleetBench.java
+++ b/bench/src/main/java/io/coppershelf/bench/fleet/FleetBench.java
@@ -23,7 +23,7 @@
 /** Drives a running fleet with a customer's services at a share of its slots, switches one fault and prints one row. */
 @Command(name = "fleet", description = "Measures one fault on a running fleet")
 public final class FleetBench {
-    private static final Duration WARM_UP = Duration.ofSeconds(10);
+    private static final Duration WARM_UP = Duration.ofSeconds(25);
     private static final int ANSWER_BYTES = 512;
 
     @Option(name = "--customer", description = "The name of the customer, for the row")
@@ -75,10 +75,13 @@
         ServerSpec target = objects.servers(service.name()).get(0);
         List<CompletableFuture<List<CallResult>>> calls = startLoad(objects);
         Thread.sleep(WARM_UP.toMillis());
+        long onsetMillis = System.currentTimeMillis();
         row.switchOn(backends, target.name());
         ArrivalLog arrivals = new ArrivalLog(backends, target.name());
         arrivals.sample(Duration.ofSeconds(seconds));
         backends.switchOff(target.name());
+        FleetRow.Truths truths = truth(calls, backends, service);
+        EjectionLog ejections = EjectionLog.read(addresses(operators));
         FleetRow result = new FleetRow(
                 customer,
                 row.label(),
@@ -86,8 +89,9 @@
                 load,
                 row.isSick() ? arrivals.workEnded() : Optional.empty(),
                 row.isSick(),
-                truth(calls, backends, service),
-                EjectionLog.read(addresses(operators)),
+                row.isSick() ? ejections.suspectedAfter(target.name(), onsetMillis) : Optional.empty(),
+                truths,
+                ejections,
                 target.name(),
                 WARM_UP.plusSeconds(seconds),
                 objects);
--- a/bench/src/main/java/io/coppershelf/bench/fleet/FleetRow.java
+++ b/bench/src/main/java/io/coppershelf/bench/fleet/FleetRow.java
@@ -20,6 +20,7 @@
     private final int load;
     private final Optional<Duration> workEnded;
     private final boolean sick;
+    private final Optional<Duration> suspected;
     private final Truths truths;
     private final EjectionLog ejections;
     private final String target;
@@ -33,6 +34,7 @@
             int load,
             Optional<Duration> workEnded,
             boolean sick,
+            Optional<Duration> suspected,
             Truths truths,
             EjectionLog ejections,
             String target,
@@ -44,6 +46,7 @@
         this.load = load;
         this.workEnded = workEnded;
         this.sick = sick;
+        this.suspected = suspected;
         this.truths = truths;
         this.ejections = ejections;
         this.target = target;
@@ -100,7 +103,11 @@
         if (!sick) {
             return "-";
         }
-        return workEnded.map(time -> time.toMillis() + " ms").orElse("NEVER");
+        return "suspected after " + millis(suspected) + ", no work beyond a trickle after " + millis(workEnded);
+    }
+
+    private static String millis(Optional<Duration> time) {
+        return time.map(known -> known.toMillis() + " ms").orElse("NEVER");
     }
 
     private double falseEjectionsPerServerHour() {
@@ -121,7 +128,8 @@
         ObjectNode node = new ObjectMapper().createObjectNode();
         node.put("bench", "fleet").put("customer", customer).put("fault", fault).put("vmFault", vmFault);
         node.put("load", load).put("calls", truths.whole().calls());
-        workEnded.ifPresent(time -> node.put("detectionMillis", time.toMillis()));
+        workEnded.ifPresent(time -> node.put("workEndedMillis", time.toMillis()));
+        suspected.ifPresent(time -> node.put("suspectedMillis", time.toMillis()));
         node.put("falseEjectionsPerServerHour", falseEjectionsPerServerHour());
         node.put("inTimeShare", truths.afterFault().inTimeShare());
         node.put("inTimeShareOfService", truths.ofService().inTimeShare());
--- a/bin/lib/bench-fleet.sh
+++ b/bin/lib/bench-fleet.sh
@@ -5,7 +5,7 @@
 CUSTOMER=association
 DAEMONS=36
 VM_FAULT=none
-FAULT_AFTER_SECONDS=12
+FAULT_AFTER_SECONDS=27
 PAUSE_SECONDS=30
 rest=()
 while [ $# -gt 0 ]; do
