--- a/bench/src/main/java/io/coppershelf/bench/demo/DemoMain.java
+++ b/bench/src/main/java/io/coppershelf/bench/demo/DemoMain.java
@@ -4,14 +4,13 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import com.google.common.base.Splitter;
 import io.coppershelf.bench.backend.BackendAdmin;
+import io.coppershelf.bench.fleet.AddressList;
 import io.coppershelf.bench.fleet.DaemonStatus;
 import io.coppershelf.bench.fleet.PlatformControl;
 import io.coppershelf.bench.fleet.TicketFile;
 import java.net.URI;
 import java.nio.file.Path;
-import java.util.List;
 
 /** Runs the demonstration against a fleet that the script has started; ends with status 1 if a promise was broken. */
 @Command(name = "demo", description = "Shows the main job against running daemons and stand-ins")
@@ -47,16 +46,9 @@
     private Demonstration demonstration() throws Exception {
         return new Demonstration(
                 TicketFile.read(Path.of(ticket)),
-                addresses(callers),
-                new DaemonStatus(addresses(operators)),
+                AddressList.parse(callers),
+                new DaemonStatus(AddressList.parse(operators)),
                 new PlatformControl(URI.create(platform)),
                 new BackendAdmin(backendAdminPort));
     }
-
-    private static List<URI> addresses(String list) {
-        return Splitter.on(',')
-                .splitToStream(list)
-                .map(address -> URI.create("http://" + address))
-                .toList();
-    }
 }
--- a/bench/src/main/java/io/coppershelf/bench/fleet/FleetBench.java
+++ b/bench/src/main/java/io/coppershelf/bench/fleet/FleetBench.java
@@ -4,7 +4,6 @@
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import com.google.common.base.Splitter;
 import io.coppershelf.bench.backend.BackendAdmin;
 import io.coppershelf.bench.load.CallResult;
 import io.coppershelf.bench.load.LoadGenerator;
@@ -12,7 +11,6 @@
 import io.coppershelf.bench.load.TruthReport;
 import io.coppershelf.ticket.ServerSpec;
 import io.coppershelf.ticket.ServiceSpec;
-import java.net.URI;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -81,7 +79,7 @@
         arrivals.sample(Duration.ofSeconds(seconds));
         backends.switchOff(target.name());
         FleetRow.Truths truths = truth(calls, backends, service);
-        EjectionLog ejections = EjectionLog.read(addresses(operators));
+        EjectionLog ejections = EjectionLog.read(AddressList.parse(operators));
         FleetRow result = new FleetRow(
                 customer,
                 row.label(),
@@ -134,7 +132,7 @@
         double callsPerSecond = slots * 1000.0 / workMillis * load / 100;
         return new LoadPlan(
                 service.name(),
-                addresses(callers),
+                AddressList.parse(callers),
                 objects.routes(service.name()),
                 callsPerSecond,
                 WARM_UP.plusSeconds(seconds),
@@ -142,11 +140,4 @@
                 ANSWER_BYTES,
                 service.name().hashCode());
     }
-
-    private static List<URI> addresses(String list) {
-        return Splitter.on(',')
-                .splitToStream(list)
-                .map(address -> URI.create("http://" + address))
-                .toList();
-    }
 }
