--- a/bin/lib/fleet.sh
+++ b/bin/lib/fleet.sh
@@ -45,7 +45,7 @@
 start_daemon() {
     write_settings "$RUN_DIR/vm-$1.json" "$1" "$2"
     # shellcheck disable=SC2086
-    start "vm-$1" java $DAEMON_JAVA_OPTIONS -jar coppershelf/target/coppershelf entry --settings "$RUN_DIR/vm-$1.json"
+    start "vm-$1" java $DAEMON_JAVA_OPTIONS -jar target/coppershelf/coppershelf entry --settings "$RUN_DIR/vm-$1.json"
 }
 
 # operators N: the operator addresses of the VMs 1 to N, with commas.
--- a/bin/lib/processes.sh
+++ b/bin/lib/processes.sh
@@ -17,12 +17,12 @@
 
 bench_classpath() {
     local jar
-    jar=$(ls bench/target/bench-*.jar 2>/dev/null | head -n 1)
+    jar=$(ls target/bench/bench-*.jar 2>/dev/null | head -n 1)
     if [ -z "$jar" ]; then
         echo "bench is not built: run mvn -DskipTests package" >&2
         exit 1
     fi
-    echo "$jar:bench/target/lib/*"
+    echo "$jar:target/bench/lib/*"
 }
 
 # start NAME COMMAND...: runs the command in the background, its output in $RUN_DIR/NAME.log; sets LAST_PID.
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/belief/BeliefTable.java
@@ -0,0 +1,33 @@
+package io.coppershelf.belief;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** The beliefs in all servers that were heard of. One thread observes; any thread reads. */
+public final class BeliefTable {
+    private final Map<String, ServerBelief> beliefs = new ConcurrentHashMap<>();
+
+    /**
+     * Takes an observation into account.
+     *
+     * @param serverKey the server and its incarnation
+     * @return whether it is news for the fleet: bad, or good of a server that was suspected
+     */
+    public boolean observe(String serverKey, Observation observation, long nowNanos) {
+        ServerBelief before = belief(serverKey, nowNanos);
+        beliefs.put(serverKey, before.after(observation, nowNanos));
+        return observation.isBad() || before.isSuspect(nowNanos);
+    }
+
+    /** Returns the belief in a server. */
+    public ServerBelief belief(String serverKey, long nowNanos) {
+        ServerBelief known = beliefs.get(serverKey);
+        return known == null ? ServerBelief.initial(nowNanos) : known;
+    }
+
+    /** Forgets all servers but the given ones. */
+    public void retain(Set<String> serverKeys) {
+        beliefs.keySet().retainAll(serverKeys);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/ServerList.java
@@ -0,0 +1,59 @@
+package io.coppershelf.catalog;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** The backend servers that are registered at one revision of the platform. Immutable. */
+public final class ServerList {
+    /** No server, before the first reading. */
+    public static final ServerList EMPTY = new ServerList(0, Map.of());
+
+    private final long revision;
+    private final Map<String, BackendServer> byId;
+    private final Map<String, List<BackendServer>> acceptingByService;
+
+    private ServerList(long revision, Map<String, BackendServer> byId) {
+        this.revision = revision;
+        this.byId = byId;
+        Map<String, List<BackendServer>> accepting = new HashMap<>();
+        for (BackendServer server : byId.values()) {
+            if (server.isAccepting()) {
+                accepting
+                        .computeIfAbsent(server.service(), service -> new ArrayList<>())
+                        .add(server);
+            }
+        }
+        acceptingByService = accepting;
+    }
+
+    /** Returns the list of the given servers. */
+    public static ServerList of(long revision, Collection<BackendServer> servers) {
+        Map<String, BackendServer> byId = new HashMap<>();
+        servers.forEach(server -> byId.put(server.id(), server));
+        return new ServerList(revision, byId);
+    }
+
+    /** Returns the revision of the platform. */
+    public long revision() {
+        return revision;
+    }
+
+    /** Returns all servers, also those that drain. */
+    public Collection<BackendServer> all() {
+        return byId.values();
+    }
+
+    /** Returns the servers of a service that take new requests. */
+    public List<BackendServer> accepting(String service) {
+        return acceptingByService.getOrDefault(service, List.of());
+    }
+
+    /** Returns a server by its id. */
+    public Optional<BackendServer> server(String id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
@@ -0,0 +1,232 @@
+package io.coppershelf.dispatch;
+
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.Route;
+import io.coppershelf.outcome.ErrorKind;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The course of one request: events in, steps out. A request that must run at most once is sent again only after proof
+ * that it has not run; an answer that says so is given only when that holds for every attempt. Not safe for several
+ * threads.
+ */
+public final class RequestPlan {
+    /** When a caller may come back after a refusal; servers that are full free slots within this time. */
+    static final Duration SHORT_RETRY_AFTER = Duration.ofMillis(400);
+    /** When a caller may come back if no server is known or reachable. */
+    static final Duration LONG_RETRY_AFTER = Duration.ofSeconds(1);
+    /** Failed connection attempts after which a request is given up; each takes up to the connection timeout. */
+    private static final int MAX_CONNECTION_FAILURES = 4;
+
+    private enum AttemptState {
+        RUNNING,
+        NOT_SENT,
+        NOT_RUN,
+        FAILED,
+        LOST
+    }
+
+    private final Route route;
+    private final ServerChoice choice;
+    private final long deadlineNanos;
+    private final long slowNanos;
+    private final long stallNanos;
+    private final List<Attempt> attempts = new ArrayList<>();
+    private final Set<String> usedServers = new HashSet<>();
+    private boolean isEnded;
+
+    /**
+     * Creates the plan of a request that has just been read.
+     *
+     * @param deadlineNanos when the caller has to have an answer
+     * @param latency the usual times of the route
+     */
+    public RequestPlan(Route route, ServerChoice choice, long deadlineNanos, TypicalLatency latency) {
+        this.route = route;
+        this.choice = choice;
+        this.deadlineNanos = deadlineNanos;
+        slowNanos = latency.slowNanos(route.objective());
+        stallNanos = latency.stallNanos(route.objective());
+    }
+
+    /** The request is to be sent for the first time. */
+    public List<Step> start(long nowNanos) {
+        return sendOrEnd("first", nowNanos);
+    }
+
+    /** No connection could be established, so the server has seen nothing of the request. */
+    public List<Step> notSent(int attempt, long nowNanos) {
+        return ended(attempt, AttemptState.NOT_SENT, nowNanos);
+    }
+
+    /** The server refused the request and stated that it has not run and will not. */
+    public List<Step> notRun(int attempt, long nowNanos) {
+        return ended(attempt, AttemptState.NOT_RUN, nowNanos);
+    }
+
+    /** The connection ended or brought no valid answer; the request may have run. */
+    public List<Step> lost(int attempt, long nowNanos) {
+        return ended(attempt, AttemptState.LOST, nowNanos);
+    }
+
+    /** The server answered with a failure of its own. */
+    public List<Step> failed(int attempt, long nowNanos) {
+        return ended(attempt, AttemptState.FAILED, nowNanos);
+    }
+
+    /** The server answered, and the answer is no failure. */
+    public List<Step> answered(int attempt) {
+        if (isEnded) {
+            return List.of();
+        }
+        isEnded = true;
+        return List.of(new Step.Deliver(attempt));
+    }
+
+    /** The time {@link #nextTimer} was reached. */
+    public List<Step> timer(long nowNanos) {
+        if (isEnded) {
+            return List.of();
+        }
+        if (nowNanos - deadlineNanos >= 0) {
+            return end(nowNanos);
+        }
+        List<Step> steps = new ArrayList<>();
+        for (int i = 0; i < attempts.size(); i++) {
+            Attempt attempt = attempts.get(i);
+            if (attempt.state == AttemptState.RUNNING && !attempt.isStalled && attempt.age(nowNanos) >= stallNanos) {
+                attempt.isStalled = true;
+                steps.add(new Step.ReportStall(i));
+            }
+        }
+        if (isHedgeDue(nowNanos)) {
+            attempts.get(attempts.size() - 1).isHedged = true;
+            repeat("slow", nowNanos).ifPresent(steps::add);
+        }
+        return steps;
+    }
+
+    /** Returns when {@link #timer} is to be called next. */
+    public long nextTimer(long nowNanos) {
+        long next = deadlineNanos;
+        for (Attempt attempt : attempts) {
+            if (attempt.state != AttemptState.RUNNING) {
+                continue;
+            }
+            if (!attempt.isHedged && route.kind().isRepeatable()) {
+                next = Math.min(next, Math.max(nowNanos, attempt.sentNanos + slowNanos));
+            }
+            if (!attempt.isStalled) {
+                next = Math.min(next, Math.max(nowNanos, attempt.sentNanos + stallNanos));
+            }
+        }
+        return next;
+    }
+
+    /** Returns how many servers the request was sent to. */
+    public int serversReached() {
+        return (int) attempts.stream()
+                .filter(attempt -> attempt.state != AttemptState.NOT_SENT)
+                .count();
+    }
+
+    private boolean isHedgeDue(long nowNanos) {
+        if (!route.kind().isRepeatable() || attempts.isEmpty()) {
+            return false;
+        }
+        Attempt last = attempts.get(attempts.size() - 1);
+        return running() == 1
+                && last.state == AttemptState.RUNNING
+                && !last.isHedged
+                && last.age(nowNanos) >= slowNanos;
+    }
+
+    private List<Step> ended(int number, AttemptState state, long nowNanos) {
+        Attempt attempt = attempts.get(number);
+        if (isEnded || attempt.state != AttemptState.RUNNING) {
+            return List.of();
+        }
+        attempt.state = state;
+        if (running() > 0) {
+            return List.of();
+        }
+        boolean isFree = state == AttemptState.NOT_SENT || state == AttemptState.NOT_RUN;
+        if (!isFree && !route.kind().isRepeatable()) {
+            return end(nowNanos);
+        }
+        return sendOrEnd(state == AttemptState.NOT_SENT ? "no-connection" : "failed", nowNanos);
+    }
+
+    private List<Step> sendOrEnd(String reason, long nowNanos) {
+        if (nowNanos - deadlineNanos >= 0) {
+            return end(nowNanos);
+        }
+        return repeat(reason, nowNanos).map(List::of).orElseGet(() -> end(nowNanos));
+    }
+
+    private Optional<Step> repeat(String reason, long nowNanos) {
+        int reached = serversReached();
+        if (reached >= route.maxServers() || attempts.size() - reached >= MAX_CONNECTION_FAILURES) {
+            return Optional.empty();
+        }
+        Optional<BackendServer> server = choice.choose(usedServers);
+        if (server.isEmpty() || (reached > 0 && !choice.takeRepeat())) {
+            return Optional.empty();
+        }
+        usedServers.add(server.get().id());
+        attempts.add(new Attempt(nowNanos));
+        return Optional.of(new Step.Send(attempts.size() - 1, server.get(), reason));
+    }
+
+    /** Ends the request with the best answer that is true. */
+    private List<Step> end(long nowNanos) {
+        isEnded = true;
+        for (int i = 0; i < attempts.size(); i++) {
+            if (attempts.get(i).state == AttemptState.FAILED) {
+                return List.of(new Step.Deliver(i));
+            }
+        }
+        return List.of(failure(nowNanos));
+    }
+
+    private Step failure(long nowNanos) {
+        boolean mayHaveRun = attempts.stream()
+                .anyMatch(attempt -> attempt.state == AttemptState.RUNNING || attempt.state == AttemptState.LOST);
+        boolean isLate = nowNanos - deadlineNanos >= 0;
+        if (mayHaveRun) {
+            ErrorKind kind = isLate ? ErrorKind.DEADLINE_PASSED : ErrorKind.SERVER_LOST;
+            return new Step.Fail(kind, isLate ? "no answer in time" : "the answer was lost", Optional.empty());
+        }
+        if (attempts.stream().anyMatch(attempt -> attempt.state == AttemptState.NOT_RUN)) {
+            return new Step.Fail(
+                    ErrorKind.SERVER_REFUSED, "all servers asked were full", Optional.of(SHORT_RETRY_AFTER));
+        }
+        return new Step.Fail(ErrorKind.NO_SERVER, "no server could be reached", Optional.of(LONG_RETRY_AFTER));
+    }
+
+    private long running() {
+        return attempts.stream()
+                .filter(attempt -> attempt.state == AttemptState.RUNNING)
+                .count();
+    }
+
+    private static final class Attempt {
+        private final long sentNanos;
+        private AttemptState state = AttemptState.RUNNING;
+        private boolean isStalled;
+        private boolean isHedged;
+
+        Attempt(long sentNanos) {
+            this.sentNanos = sentNanos;
+        }
+
+        long age(long nowNanos) {
+            return nowNanos - sentNanos;
+        }
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RetryBudget.java
@@ -0,0 +1,94 @@
+package io.coppershelf.dispatch;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Limits how often requests of a service are sent once more. Each VM takes its share of the limit of the fleet: the
+ * ratio applies to the requests that it took itself, and the fixed part is divided by the number of VMs. The shares add
+ * up to less than the limit, also while the views of the membership differ somewhat. Not safe for several threads.
+ */
+public final class RetryBudget {
+    /** The part of the fleet's limit that is used; the rest covers VMs that see fewer peers than there are. */
+    private static final double USED_SHARE = 0.8;
+    /** The number of buckets of a window; the window slides by one bucket. */
+    private static final int BUCKETS = 10;
+
+    private final double ratio;
+    private final double fixedPerWindow;
+    private final long bucketNanos;
+    private final Map<String, Usage> usages = new HashMap<>();
+
+    /**
+     * Creates an unused budget.
+     *
+     * @param ratio repeats for each request
+     * @param fixedPerWindow repeats of the whole fleet in each window besides
+     * @param window the length of the window
+     */
+    public RetryBudget(double ratio, double fixedPerWindow, Duration window) {
+        this.ratio = ratio;
+        this.fixedPerWindow = fixedPerWindow;
+        bucketNanos = window.toNanos() / BUCKETS;
+    }
+
+    /** Counts a request that a caller sent. */
+    public void countRequest(String service, long nowNanos) {
+        usage(service, nowNanos).requests[BUCKETS - 1]++;
+    }
+
+    /**
+     * Takes one repeat from the budget if it has any left.
+     *
+     * @param fleetSize the number of VMs that take requests
+     * @return whether the request may be sent once more
+     */
+    public boolean tryRepeat(String service, int fleetSize, long nowNanos) {
+        Usage usage = usage(service, nowNanos);
+        double limit = USED_SHARE * (ratio * sum(usage.requests) + fixedPerWindow / Math.max(1, fleetSize));
+        if (sum(usage.repeats) + 1 > limit) {
+            return false;
+        }
+        usage.repeats[BUCKETS - 1]++;
+        return true;
+    }
+
+    private Usage usage(String service, long nowNanos) {
+        Usage usage = usages.computeIfAbsent(service, name -> new Usage(nowNanos));
+        usage.slideTo(nowNanos, bucketNanos);
+        return usage;
+    }
+
+    private static int sum(int[] counts) {
+        int sum = 0;
+        for (int count : counts) {
+            sum += count;
+        }
+        return sum;
+    }
+
+    /** The counts of one service; the last bucket is the current one. */
+    private static final class Usage {
+        private final int[] requests = new int[BUCKETS];
+        private final int[] repeats = new int[BUCKETS];
+        private long bucketStartNanos;
+
+        Usage(long nowNanos) {
+            bucketStartNanos = nowNanos;
+        }
+
+        void slideTo(long nowNanos, long bucketNanos) {
+            long passed = Math.min(BUCKETS, (nowNanos - bucketStartNanos) / bucketNanos);
+            for (long i = 0; i < passed; i++) {
+                System.arraycopy(requests, 1, requests, 0, BUCKETS - 1);
+                System.arraycopy(repeats, 1, repeats, 0, BUCKETS - 1);
+                requests[BUCKETS - 1] = 0;
+                repeats[BUCKETS - 1] = 0;
+            }
+            if (passed > 0) {
+                bucketStartNanos = nowNanos - (nowNanos - bucketStartNanos) % bucketNanos;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChoice.java
@@ -0,0 +1,14 @@
+package io.coppershelf.dispatch;
+
+import io.coppershelf.catalog.BackendServer;
+import java.util.Optional;
+import java.util.Set;
+
+/** Chooses servers for one request. */
+public interface ServerChoice {
+    /** Returns the best server whose id is not excluded. */
+    Optional<BackendServer> choose(Set<String> excluded);
+
+    /** Takes one repeat from the budget of the service; returns whether it had any left. */
+    boolean takeRepeat();
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -0,0 +1,122 @@
+package io.coppershelf.dispatch;
+
+import io.coppershelf.belief.BeliefTable;
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.RequestKind;
+import io.coppershelf.catalog.ServerList;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Chooses the server with the least expected loss: the chance that it fails the request, the delay by its load, the
+ * bytes between data centres. A sick server is thus the last choice but never forbidden, so that no share of the
+ * fleet's capacity is taken out of service by a wrong belief. Not safe for several threads.
+ */
+public final class ServerChooser {
+    /** Loss by a failure, as a share of the worth of a request that can't be sent again. */
+    private static final double ONCE_FAILURE_LOSS = 1.0;
+    /** Loss by a failure of a request that may be sent again: the delay, and a second place at a server. */
+    private static final double REPEATABLE_FAILURE_LOSS = 0.35;
+    /** Share of the requests that a sick server fails. */
+    private static final double SICK_FAILURE_SHARE = 0.7;
+    /** Loss at a server whose slots are all busy but for this VM's request; it slows down when nearly full. */
+    private static final double FULL_SLOTS_LOSS = 0.06;
+    /** Loss for each further round of requests that wait at the server. */
+    private static final double WAITING_ROUND_LOSS = 0.3;
+    /** Loss at a server that is still cold. */
+    private static final double COLD_LOSS = 0.04;
+    /** Loss by the bytes of a small answer between data centres. */
+    private static final double REMOTE_LOSS = 0.012;
+    /** Loss by the bytes of a large answer between data centres. */
+    private static final double REMOTE_LARGE_LOSS = 0.3;
+    /** Loss where the last connection attempts failed. */
+    private static final double BROKEN_PATH_LOSS = 2.0;
+    /** Spreads choices among servers that are about as good. */
+    private static final double JITTER_LOSS = 0.01;
+
+    private final String dataCentre;
+    private final BeliefTable beliefs;
+    private final Random random;
+    private final Map<String, ServerUse> uses = new HashMap<>();
+
+    /**
+     * Creates a chooser without knowledge of loads.
+     *
+     * @param dataCentre the data centre of this VM
+     * @param beliefs what the fleet believes of servers
+     */
+    public ServerChooser(String dataCentre, BeliefTable beliefs, Random random) {
+        this.dataCentre = dataCentre;
+        this.beliefs = beliefs;
+        this.random = random;
+    }
+
+    /** Returns the key of an incarnation of a server in beliefs and in evidence. */
+    public static String keyOf(BackendServer server) {
+        return server.id() + '@' + server.bornMillis();
+    }
+
+    /** Returns what is known of the use of a server. */
+    public ServerUse use(BackendServer server) {
+        return uses.computeIfAbsent(keyOf(server), key -> new ServerUse());
+    }
+
+    /**
+     * Returns the server for a request, empty if all servers of the service are excluded.
+     *
+     * @param excluded the ids of servers that have had the request
+     */
+    public Optional<BackendServer> choose(
+            ServerList servers, String service, RequestKind kind, Set<String> excluded, long nowNanos) {
+        BackendServer best = null;
+        double bestLoss = Double.POSITIVE_INFINITY;
+        for (BackendServer server : servers.accepting(service)) {
+            if (excluded.contains(server.id())) {
+                continue;
+            }
+            double loss = loss(server, kind, nowNanos);
+            if (loss < bestLoss) {
+                best = server;
+                bestLoss = loss;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Returns the expected loss of sending a request to the server, as a share of its worth. */
+    double loss(BackendServer server, RequestKind kind, long nowNanos) {
+        String key = keyOf(server);
+        double failure = SICK_FAILURE_SHARE * beliefs.belief(key, nowNanos).sicknessAt(nowNanos);
+        double loss = failure * (kind.isRepeatable() ? REPEATABLE_FAILURE_LOSS : ONCE_FAILURE_LOSS);
+        ServerUse use = uses.get(key);
+        if (use != null) {
+            loss += loadLoss(use.busy(nowNanos), server.slots());
+            loss += use.isPathAvoided(nowNanos) ? BROKEN_PATH_LOSS : 0;
+        }
+        if (!server.dataCentre().equals(dataCentre)) {
+            loss += kind == RequestKind.LARGE_ANSWER ? REMOTE_LARGE_LOSS : REMOTE_LOSS;
+        }
+        loss += server.isCold() ? COLD_LOSS : 0;
+        return loss + JITTER_LOSS * random.nextDouble();
+    }
+
+    private static double loadLoss(double busy, int slots) {
+        double fill = (busy + 1) / Math.max(1, slots);
+        if (fill <= 1) {
+            return FULL_SLOTS_LOSS * fill * fill;
+        }
+        return FULL_SLOTS_LOSS + WAITING_ROUND_LOSS * (fill - 1);
+    }
+
+    /** Forgets the servers that are not registered any more and have no request of this VM. */
+    public void retain(ServerList servers) {
+        Set<String> keys = servers.all().stream().map(ServerChooser::keyOf).collect(Collectors.toSet());
+        uses.entrySet()
+                .removeIf(entry ->
+                        !keys.contains(entry.getKey()) && entry.getValue().inFlight() == 0);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/eventlog/JsonEventLog.java
@@ -0,0 +1,124 @@
+package io.coppershelf.eventlog;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Writes the log as JSON lines, from a bounded queue and at a bounded rate of routine lines. */
+public final class JsonEventLog implements EventLog {
+    /** Lines that wait at most; about 200 KB. */
+    private static final int QUEUE_LINES = 1024;
+    /** Routine lines are dropped when fewer places than this are free, so that important ones find one. */
+    private static final int RESERVED_LINES = 512;
+    /** Routine lines a second; above it they are sampled, which bounds the volume and the processor time. */
+    private static final int ROUTINE_LINES_PER_SECOND = 20;
+    /** Important lines a second; a process in trouble repeats itself beyond this. */
+    private static final int IMPORTANT_LINES_PER_SECOND = 200;
+
+    private final BlockingQueue<Line> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+    private final AtomicLong dropped = new AtomicLong();
+    private final RateLimit routineRate = new RateLimit(ROUTINE_LINES_PER_SECOND);
+    private final RateLimit importantRate = new RateLimit(IMPORTANT_LINES_PER_SECOND);
+    private final JsonFactory json = new JsonFactory();
+    private final OutputStream out;
+    private final String vm;
+
+    private JsonEventLog(OutputStream out, String vm) {
+        this.out = out;
+        this.vm = vm;
+    }
+
+    /** Starts a log that a background thread writes to the stream. */
+    public static JsonEventLog start(OutputStream out, String vm) {
+        JsonEventLog log = new JsonEventLog(out, vm);
+        Thread writer = new Thread(log::writeForever, "event-log");
+        writer.setDaemon(true);
+        writer.start();
+        return log;
+    }
+
+    /** Returns how many lines were dropped so far. */
+    public long dropped() {
+        return dropped.get();
+    }
+
+    @Override
+    public void write(Importance importance, String event, Map<String, Object> fields) {
+        boolean isRoutine = importance == Importance.ROUTINE;
+        boolean isRefused = isRoutine
+                ? queue.remainingCapacity() < RESERVED_LINES || !routineRate.tryTake()
+                : !importantRate.tryTake();
+        if (isRefused || !queue.offer(new Line(System.currentTimeMillis(), event, fields))) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    private void writeForever() {
+        long reported = 0;
+        try {
+            while (true) {
+                Line line = queue.take();
+                ByteArrayOutputStream batch = new ByteArrayOutputStream();
+                append(batch, line);
+                for (Line next = queue.poll(); next != null; next = queue.poll()) {
+                    append(batch, next);
+                }
+                long droppedNow = dropped.get();
+                if (droppedNow > reported) {
+                    append(batch, droppedLine(droppedNow));
+                    reported = droppedNow;
+                }
+                batch.writeTo(out);
+                out.flush();
+                TimeUnit.MILLISECONDS.sleep(BATCH_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            System.err.println("coppershelf: the event log ends, its output can't be written: " + e);
+        }
+    }
+
+    /** Lines are written together; each write costs a system call. */
+    private static final long BATCH_MILLIS = 250;
+
+    private static Line droppedLine(long count) {
+        return new Line(System.currentTimeMillis(), "log-lines-dropped", Fields.of("total", count));
+    }
+
+    private void append(ByteArrayOutputStream batch, Line line) throws IOException {
+        try (JsonGenerator generator = json.createGenerator(batch)) {
+            generator.writeStartObject();
+            generator.writeNumberField("at", line.wallMillis);
+            generator.writeStringField("vm", vm);
+            generator.writeStringField("event", line.event);
+            for (Map.Entry<String, Object> field : line.fields.entrySet()) {
+                generator.writeFieldName(field.getKey());
+                writeValue(generator, field.getValue());
+            }
+            generator.writeEndObject();
+        }
+        batch.write('\n');
+    }
+
+    private static void writeValue(JsonGenerator generator, Object value) throws IOException {
+        if (value instanceof Integer || value instanceof Long) {
+            generator.writeNumber(((Number) value).longValue());
+        } else if (value instanceof Double number) {
+            generator.writeNumber(Math.rint(number * 1000) / 1000);
+        } else if (value instanceof Boolean flag) {
+            generator.writeBoolean(flag);
+        } else {
+            generator.writeString(String.valueOf(value));
+        }
+    }
+
+    private record Line(long wallMillis, String event, Map<String, Object> fields) {}
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/eventlog/RateLimit.java
@@ -0,0 +1,26 @@
+package io.coppershelf.eventlog;
+
+import java.util.concurrent.TimeUnit;
+
+/** Allows a number of events in each second. */
+final class RateLimit {
+    private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final int perSecond;
+    private long secondStartNanos = System.nanoTime();
+    private int taken;
+
+    RateLimit(int perSecond) {
+        this.perSecond = perSecond;
+    }
+
+    synchronized boolean tryTake() {
+        long now = System.nanoTime();
+        if (now - secondStartNanos >= SECOND_NANOS) {
+            secondStartNanos = now;
+            taken = 0;
+        }
+        taken++;
+        return taken <= perSecond;
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -0,0 +1,113 @@
+package io.coppershelf.gateway;
+
+import io.coppershelf.belief.BeliefTable;
+import io.coppershelf.catalog.CatalogReader;
+import io.coppershelf.dispatch.RetryBudget;
+import io.coppershelf.eventlog.EventLog;
+import io.coppershelf.eventlog.Fields;
+import io.coppershelf.mesh.FleetState;
+import io.coppershelf.mesh.Membership;
+import io.coppershelf.proxy.TrafficServer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** The running daemon: one thread for control state, one for traffic. */
+public final class Gateway {
+    /**
+     * After this time the balancer has noticed that the VM is not ready; it asks once a second and needs two misses.
+     */
+    private static final Duration BALANCER_NOTICE = Duration.ofMillis(2600);
+    /** Taken off the stop limit, so that the process ends by itself. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(500);
+
+    private static final long STOP_POLL_MILLIS = 50;
+
+    private final GatewaySettings settings;
+    private final FleetState state;
+    private final TrafficServer traffic;
+    private final EventLog log;
+
+    private Gateway(GatewaySettings settings, FleetState state, TrafficServer traffic, EventLog log) {
+        this.settings = settings;
+        this.state = state;
+        this.traffic = traffic;
+        this.log = log;
+    }
+
+    /**
+     * Starts the daemon.
+     *
+     * @param readers creates the reader of the platform on the control thread
+     */
+    public static Gateway start(GatewaySettings settings, Function<EventLoop, CatalogReader> readers, EventLog log) {
+        EventLoop control = newLoop("control");
+        EventLoop trafficLoop = newLoop("traffic");
+        Random random = new Random();
+        BeliefTable beliefs = new BeliefTable();
+        Membership membership = new Membership(
+                settings.meshAddress(), System.currentTimeMillis(), settings.seeds(), random, System.nanoTime());
+        FleetState state = new FleetState(control, readers.apply(control), beliefs, membership, random, log);
+        PrometheusRegistry registry = new PrometheusRegistry();
+        RetryBudget budget =
+                new RetryBudget(settings.retryRatio(), settings.retriesPerWindow(), settings.retryWindow());
+        TrafficServer traffic = new TrafficServer(
+                trafficLoop, settings.headers(), state, beliefs, budget, settings.dataCentre(), registry, log);
+        state.start(settings.meshAddress());
+        traffic.listen(settings.callerAddress());
+        PageServer.listen(
+                control,
+                settings.readinessAddress(),
+                settings.readinessPath(),
+                () -> new PageServer.Page(state.isReady(), state.isReady() ? "ready\n" : "not ready\n"));
+        settings.metricsAddress()
+                .ifPresent(address -> PageServer.listen(
+                        control, address, "/metrics", () -> new PageServer.Page(true, metrics(registry))));
+        log.important("started", Fields.of("callers", settings.callerAddress(), "mesh", settings.meshAddress()));
+        return new Gateway(settings, state, traffic, log);
+    }
+
+    /**
+     * Stops taking requests and waits until those under way are answered: first the balancer has to notice that the VM
+     * is not ready, and new requests are served meanwhile.
+     */
+    public void stop() throws InterruptedException {
+        long startNanos = System.nanoTime();
+        log.important("stopping", Fields.of("underWay", traffic.requestsUnderWay()));
+        state.stopping();
+        TimeUnit.NANOSECONDS.sleep(BALANCER_NOTICE.toNanos());
+        long limitNanos = settings.stopLimit().minus(STOP_MARGIN).toNanos();
+        traffic.closeIdleCallers();
+        while (traffic.requestsUnderWay() > 0 && System.nanoTime() - startNanos < limitNanos) {
+            TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
+        }
+        TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
+        log.important("stopped", Fields.of("underWay", traffic.requestsUnderWay()));
+    }
+
+    private static EventLoop newLoop(String name) {
+        return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory())
+                .next();
+    }
+
+    private static String metrics(PrometheusRegistry registry) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpAnswer.java
@@ -0,0 +1,12 @@
+package io.coppershelf.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * A whole answer.
+ *
+ * @param status the status code
+ * @param headers the headers as received
+ * @param body the whole body
+ */
+public record HttpAnswer(int status, HttpHeaders headers, byte[] body) {}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnector.java
@@ -0,0 +1,69 @@
+package io.coppershelf.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.function.Consumer;
+
+/** Opens client connections. */
+public final class HttpConnector {
+    private static final int MAX_INITIAL_LINE_BYTES = 4096;
+    private static final int MAX_HEAD_BYTES = 32 * 1024;
+    private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+    private final Bootstrap bootstrap;
+
+    /** Creates a connector whose connections run on the group. */
+    public HttpConnector(EventLoopGroup group, Duration connectTimeout) {
+        bootstrap = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param onOpen hears of the open connection
+     * @param onFailure hears why there is none; nothing was sent then
+     * @param onReusable hears each time the connection can be used again
+     * @param onClosed hears of the end of an open connection
+     */
+    public void open(
+            InetSocketAddress address,
+            Consumer<HttpLink> onOpen,
+            Consumer<Throwable> onFailure,
+            Consumer<HttpLink> onReusable,
+            Consumer<HttpLink> onClosed) {
+        HttpLink link = new HttpLink(onReusable, onClosed);
+        ChannelFuture connecting = bootstrap
+                .clone()
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(
+                                        MAX_INITIAL_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES, false))
+                                .addLast(link);
+                    }
+                })
+                .connect(address);
+        connecting.addListener(done -> {
+            if (done.isSuccess()) {
+                onOpen.accept(link);
+            } else {
+                onFailure.accept(done.cause());
+            }
+        });
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpLink.java
@@ -0,0 +1,210 @@
+package io.coppershelf.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * A connection with one exchange at a time. It is fit for another exchange only if the last one ended cleanly: request
+ * written to the end, answer delimited by its own length, no byte after it, and no wish of the server to close.
+ */
+public final class HttpLink extends ChannelInboundHandlerAdapter {
+    /** The largest answer that is kept in memory, in bytes; the largest ones of the workloads are about a megabyte. */
+    private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+    /** How long an idle connection is used if the server states no limit; below the usual server's ten seconds. */
+    private static final long DEFAULT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(8);
+    /** Taken off the limit that the server states, for the way there. */
+    private static final long IDLE_MARGIN_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final Consumer<HttpLink> onReusable;
+    private final Consumer<HttpLink> onClosed;
+    private Channel channel;
+    private Optional<AnswerListener> listener = Optional.empty();
+    private Optional<HttpResponse> head = Optional.empty();
+    private CompositeByteBuf body = Unpooled.compositeBuffer(1024);
+    private boolean isRequestWritten;
+    private boolean isBroken;
+    private boolean isReusable = true;
+    private boolean isReleasePending;
+    private boolean hasSkipped;
+    private long idleLimitNanos = DEFAULT_IDLE_NANOS;
+    private long idleSinceNanos;
+
+    HttpLink(Consumer<HttpLink> onReusable, Consumer<HttpLink> onClosed) {
+        this.onReusable = onReusable;
+        this.onClosed = onClosed;
+    }
+
+    /** Returns whether the connection can take an exchange, having been idle for no longer than the given time. */
+    public boolean isUsable(long maxIdleNanos, long nowNanos) {
+        long idle = nowNanos - idleSinceNanos;
+        return channel.isActive() && isReusable && listener.isEmpty() && idle <= Math.min(maxIdleNanos, idleLimitNanos);
+    }
+
+    /** Sends a request; the listener hears how it ends. The connection must be usable. */
+    public void exchange(FullHttpRequest request, AnswerListener answerListener) {
+        listener = Optional.of(answerListener);
+        isRequestWritten = false;
+        hasSkipped = false;
+        channel.writeAndFlush(request).addListener(written -> isRequestWritten = written.isSuccess());
+    }
+
+    /** Closes the connection; the listener of an exchange under way hears nothing more. */
+    public void close() {
+        listener = Optional.empty();
+        isReusable = false;
+        channel.close();
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+        idleSinceNanos = System.nanoTime();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        try {
+            read((HttpObject) message);
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            fail(true, "not an answer: " + message.decoderResult().cause());
+            return;
+        }
+        if (listener.isEmpty()) {
+            fail(true, "bytes after the answer");
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            head = Optional.of(response);
+            body.clear();
+        }
+        if (message instanceof HttpContent content) {
+            append(content.content());
+            if (message instanceof LastHttpContent) {
+                complete();
+            }
+        }
+    }
+
+    private void append(ByteBuf content) {
+        if (body.readableBytes() + content.readableBytes() > MAX_ANSWER_BYTES) {
+            fail(true, "the answer is larger than " + MAX_ANSWER_BYTES + " bytes");
+            return;
+        }
+        if (content.isReadable()) {
+            body.addComponent(true, content.retain());
+        }
+    }
+
+    private void complete() {
+        if (head.isEmpty() || listener.isEmpty()) {
+            return;
+        }
+        HttpResponse response = head.get();
+        head = Optional.empty();
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            return;
+        }
+        boolean isDelimitedByEnd =
+                !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+        if (isDelimitedByEnd && isBroken) {
+            return;
+        }
+        byte[] bytes = takeBody();
+        HttpAnswer answer = new HttpAnswer(response.status().code(), response.headers(), bytes);
+        if (!listener.get().isOwn(answer)) {
+            isReusable = false;
+            hasSkipped = true;
+            return;
+        }
+        isReusable = isReusable && isRequestWritten && HttpUtil.isKeepAlive(response) && channel.isActive();
+        idleLimitNanos = idleLimit(response);
+        AnswerListener ended = listener.get();
+        listener = Optional.empty();
+        isReleasePending = isReusable;
+        if (!isReusable) {
+            channel.close();
+        }
+        ended.answered(answer);
+    }
+
+    private byte[] takeBody() {
+        byte[] bytes = new byte[body.readableBytes()];
+        body.readBytes(bytes);
+        body.release();
+        body = Unpooled.compositeBuffer(1024);
+        return bytes;
+    }
+
+    /** An answer is complete only at the end of a read, since bytes that belong to none may follow it. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (isReleasePending && channel.isActive()) {
+            isReleasePending = false;
+            idleSinceNanos = System.nanoTime();
+            onReusable.accept(this);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        isBroken = true;
+        fail(head.isPresent(), cause.toString());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        String state = hasSkipped ? "closed after an answer to another request" : "closed by the server";
+        fail(head.isPresent(), state);
+        body.release();
+        onClosed.accept(this);
+    }
+
+    private void fail(boolean isGarbled, String reason) {
+        isReusable = false;
+        isReleasePending = false;
+        Optional<AnswerListener> failed = listener;
+        listener = Optional.empty();
+        channel.close();
+        failed.ifPresent(heard -> heard.lost(isGarbled, reason));
+    }
+
+    private static long idleLimit(HttpResponse response) {
+        String keepAlive = response.headers().get("keep-alive");
+        if (keepAlive == null) {
+            return DEFAULT_IDLE_NANOS;
+        }
+        for (String parameter : keepAlive.split(",", -1)) {
+            String[] pair = parameter.trim().split("=", 2);
+            if (pair.length == 2 && pair[0].trim().equalsIgnoreCase("timeout") && isNumber(pair[1].trim())) {
+                long seconds = Long.parseLong(pair[1].trim());
+                return Math.max(0, TimeUnit.SECONDS.toNanos(seconds) - IDLE_MARGIN_NANOS);
+            }
+        }
+        return DEFAULT_IDLE_NANOS;
+    }
+
+    private static boolean isNumber(String text) {
+        return !text.isEmpty() && text.length() < 9 && text.chars().allMatch(Character::isDigit);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -0,0 +1,337 @@
+package io.coppershelf.mesh;
+
+import io.coppershelf.belief.BeliefTable;
+import io.coppershelf.belief.Observation;
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.Catalog;
+import io.coppershelf.catalog.CatalogChange;
+import io.coppershelf.catalog.CatalogReader;
+import io.coppershelf.catalog.FleetConfiguration;
+import io.coppershelf.catalog.ServerList;
+import io.coppershelf.dispatch.ServerChooser;
+import io.coppershelf.eventlog.EventLog;
+import io.coppershelf.eventlog.Fields;
+import io.coppershelf.proxy.TrafficState;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+/**
+ * The control state of this VM: catalog, beliefs and membership. Changed by the control thread alone; what the traffic
+ * thread reads is published through volatile fields.
+ */
+public final class FleetState implements TrafficState {
+    private static final long TICK_MILLIS = 50;
+    /** Every how many ticks a VM tells another one who is there. */
+    private static final int TICKS_PER_MEMBERS = 8;
+    /** How long the platform waits for a change; a reading that finds none confirms what is known. */
+    private static final Duration CHANGE_WAIT = Duration.ofMillis(100);
+    /** Pause before a configuration that could not be read is read again. */
+    private static final long CONFIGURATION_PAUSE_MILLIS = 150;
+
+    private final EventLoop loop;
+    private final CatalogReader reader;
+    private final BeliefTable beliefs;
+    private final Membership membership;
+    private final ReadingSchedule schedule;
+    private final EventLog log;
+    private Optional<MeshSocket> socket = Optional.empty();
+    private boolean isReading;
+    private boolean isReadingConfiguration;
+    private boolean isPlatformLost;
+    private boolean needsAll = true;
+    private long wantedConfiguration;
+    private long ticks;
+    private volatile Catalog catalog = Catalog.EMPTY;
+    private volatile int fleetSize = 1;
+    private volatile boolean isStopping;
+
+    /** Creates a state that knows nothing. */
+    public FleetState(
+            EventLoop loop,
+            CatalogReader reader,
+            BeliefTable beliefs,
+            Membership membership,
+            Random random,
+            EventLog log) {
+        this.loop = loop;
+        this.reader = reader;
+        this.beliefs = beliefs;
+        this.membership = membership;
+        schedule = new ReadingSchedule(random);
+        this.log = log;
+    }
+
+    /** Starts to read the platform and to talk to peers. */
+    public void start(InetSocketAddress address) {
+        socket = Optional.of(MeshSocket.open(loop, address, this::received, log));
+        loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public Catalog catalog() {
+        return catalog;
+    }
+
+    @Override
+    public int fleetSize() {
+        return fleetSize;
+    }
+
+    @Override
+    public boolean isStopping() {
+        return isStopping;
+    }
+
+    /** Returns whether callers can be served. */
+    public boolean isReady() {
+        return !isStopping && catalog.isServing();
+    }
+
+    /** Notes that this VM is going to stop. */
+    public void stopping() {
+        isStopping = true;
+        loop.execute(() -> {
+            membership.leave();
+            socket.ifPresent(open -> open.send(membership.live(now()), members(false)));
+        });
+    }
+
+    @Override
+    public void observed(BackendServer server, Observation observation) {
+        loop.execute(() -> {
+            String key = ServerChooser.keyOf(server);
+            boolean wasSuspect = beliefs.belief(key, now()).isSuspect(now());
+            boolean isNews = beliefs.observe(key, observation, now());
+            logBelief(key, wasSuspect, "own request", observation);
+            if (isNews) {
+                socket.ifPresent(open -> open.send(membership.live(now()), new MeshMessage.Evidence(key, observation)));
+            }
+        });
+    }
+
+    private void tick() {
+        long now = now();
+        ticks++;
+        if (ticks % TICKS_PER_MEMBERS == 1) {
+            membership.nextReceiver(now).ifPresent(receiver -> send(receiver, members(false)));
+            fleetSize = membership.fleetSize();
+        }
+        if (!isReading && schedule.isDue(membership.rank(now), membership.ageNanos(now), now)) {
+            read();
+        }
+    }
+
+    private void read() {
+        isReading = true;
+        if (needsAll) {
+            reader.readAll(new ReadingListener());
+        } else {
+            reader.readChanges(catalog.servers().revision(), CHANGE_WAIT, new ReadingListener());
+        }
+    }
+
+    private void received(InetSocketAddress sender, MeshMessage message) {
+        if (message instanceof MeshMessage.Members members) {
+            boolean hasNew = membership.heard(members.members(), now());
+            fleetSize = membership.fleetSize();
+            boolean isStranger = hasNew || members.wantsReply();
+            if (isStranger) {
+                send(sender, new MeshMessage.Members(membership.nextEntries(true, now()), false));
+            }
+        } else if (message instanceof MeshMessage.Evidence evidence) {
+            boolean wasSuspect = beliefs.belief(evidence.serverKey(), now()).isSuspect(now());
+            beliefs.observe(evidence.serverKey(), evidence.observation(), now());
+            logBelief(evidence.serverKey(), wasSuspect, sender.toString(), evidence.observation());
+        } else if (message instanceof MeshMessage.CatalogNews news) {
+            takeNews(news);
+        }
+    }
+
+    private void takeNews(MeshMessage.CatalogNews news) {
+        wantConfiguration(news.configurationRevision());
+        long known = catalog.servers().revision();
+        CatalogChange change = new CatalogChange(
+                news.since(),
+                news.revision(),
+                Optional.empty(),
+                news.changed(),
+                news.removed().stream().collect(Collectors.toSet()));
+        boolean isGap = needsAll || known < news.since();
+        if (isGap) {
+            return;
+        }
+        if (known < news.revision()) {
+            publish(change, "peer");
+        }
+        schedule.confirmed(now() - TimeUnit.MILLISECONDS.toNanos(news.ageMillis()));
+    }
+
+    private void publish(CatalogChange change, String source) {
+        Catalog before = catalog;
+        ServerList servers = change.applyTo(before.servers());
+        Catalog after = before.with(servers);
+        if (change.configuration().isPresent()) {
+            after = after.with(change.configuration().get());
+        }
+        catalog = after;
+        logServers(before.servers(), after.servers(), source);
+        logConfiguration(before, after, source);
+        beliefs.retain(servers.all().stream().map(ServerChooser::keyOf).collect(Collectors.toSet()));
+    }
+
+    private void wantConfiguration(long revision) {
+        wantedConfiguration = Math.max(wantedConfiguration, revision);
+        if (isReadingConfiguration || configurationRevision() >= wantedConfiguration) {
+            return;
+        }
+        isReadingConfiguration = true;
+        reader.readConfigurationCheaply(wantedConfiguration, this::takeConfiguration, () -> {
+            loop.schedule(
+                    () -> {
+                        isReadingConfiguration = false;
+                        wantConfiguration(wantedConfiguration);
+                    },
+                    CONFIGURATION_PAUSE_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void takeConfiguration(FleetConfiguration configuration) {
+        isReadingConfiguration = false;
+        Catalog before = catalog;
+        catalog = before.with(configuration);
+        logConfiguration(before, catalog, "platform");
+        wantConfiguration(wantedConfiguration);
+    }
+
+    private long configurationRevision() {
+        return catalog.configuration().map(FleetConfiguration::revision).orElse(0L);
+    }
+
+    private MeshMessage.Members members(boolean wantsReply) {
+        return new MeshMessage.Members(membership.nextEntries(false, now()), wantsReply);
+    }
+
+    private void send(InetSocketAddress receiver, MeshMessage message) {
+        socket.ifPresent(open -> open.send(receiver, message));
+    }
+
+    private static long now() {
+        return System.nanoTime();
+    }
+
+    private void logBelief(String key, boolean wasSuspect, String source, Observation observation) {
+        boolean isSuspect = beliefs.belief(key, now()).isSuspect(now());
+        if (isSuspect != wasSuspect) {
+            log.important(
+                    isSuspect ? "server-suspected" : "server-trusted",
+                    Fields.of(
+                            "server",
+                            key,
+                            "observation",
+                            observation.name(),
+                            "source",
+                            source,
+                            "sickness",
+                            beliefs.belief(key, now()).sicknessAt(now())));
+        }
+    }
+
+    private void logServers(ServerList before, ServerList after, String source) {
+        List<String> changes = new ArrayList<>();
+        for (BackendServer server : after.all()) {
+            Optional<BackendServer> known = before.server(server.id());
+            if (known.isEmpty()) {
+                changes.add("+" + server.id());
+            } else if (!known.get().isSameForRouting(server)) {
+                changes.add((server.isAccepting() ? "~" : "draining ") + server.id());
+            }
+        }
+        for (BackendServer server : before.all()) {
+            if (after.server(server.id()).isEmpty()) {
+                changes.add("-" + server.id());
+            }
+        }
+        if (!changes.isEmpty()) {
+            log.important(
+                    "servers-changed",
+                    Fields.of("revision", after.revision(), "source", source, "changes", String.join(" ", changes)));
+        }
+    }
+
+    private void logConfiguration(Catalog before, Catalog after, String source) {
+        if (after.configuration().equals(before.configuration())) {
+            return;
+        }
+        after.configuration()
+                .ifPresent(configuration -> log.important(
+                        "configuration-in-force",
+                        Fields.of(
+                                "version", configuration.version(),
+                                "revision", configuration.revision(),
+                                "routes", configuration.routes().size(),
+                                "source", source)));
+    }
+
+    /** Takes the result of a reading of the platform. */
+    private final class ReadingListener implements CatalogReader.Listener {
+        @Override
+        public void read(CatalogChange change) {
+            isReading = false;
+            needsAll = false;
+            if (isPlatformLost) {
+                isPlatformLost = false;
+                log.important("platform-regained", Fields.of("revision", change.revision()));
+            }
+            ServerList before = catalog.servers();
+            if (change.follows(before.revision()) && change.revision() >= before.revision()) {
+                publish(change, "platform");
+            }
+            schedule.succeeded();
+            schedule.confirmed(now());
+            tell(before, change);
+        }
+
+        @Override
+        public void failed(CatalogReader.Failure failure, String reason) {
+            isReading = false;
+            if (failure == CatalogReader.Failure.HISTORY_LOST) {
+                needsAll = true;
+                log.important("platform-history-lost", Fields.of("reason", reason));
+                return;
+            }
+            if (!isPlatformLost) {
+                isPlatformLost = true;
+                log.important("platform-lost", Fields.of("reason", reason));
+            }
+            schedule.failed(now());
+        }
+
+        /** Tells the fleet what matters for routing, and that the rest is unchanged. */
+        private void tell(ServerList before, CatalogChange change) {
+            if (change.since() == 0) {
+                return;
+            }
+            List<BackendServer> changed = change.changed().stream()
+                    .filter(server -> before.server(server.id())
+                            .filter(known -> known.isSameForRouting(server))
+                            .isEmpty())
+                    .toList();
+            MeshMessage.CatalogNews news = new MeshMessage.CatalogNews(
+                    change.since(),
+                    change.revision(),
+                    configurationRevision(),
+                    0,
+                    changed,
+                    List.copyOf(change.removed()));
+            socket.ifPresent(open -> open.send(membership.live(now()), news));
+        }
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -0,0 +1,134 @@
+package io.coppershelf.mesh;
+
+import io.coppershelf.belief.Observation;
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.peer.MessageFields;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads the messages of the mesh. */
+final class MeshCodec {
+    private static final int VERSION = 1;
+    private static final int MEMBERS = 1;
+    private static final int EVIDENCE = 2;
+    private static final int CATALOG_NEWS = 3;
+
+    private MeshCodec() {}
+
+    static byte[] encode(MeshMessage message) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(VERSION);
+            write(packer, message);
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Reads a message.
+     *
+     * @throws IOException if the bytes are not a message of this version
+     */
+    static MeshMessage decode(byte[] bytes) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            int version = unpacker.unpackInt();
+            if (version != VERSION) {
+                throw new IOException("expected version " + VERSION + " but got " + version);
+            }
+            int type = unpacker.unpackInt();
+            return switch (type) {
+                case MEMBERS ->
+                    new MeshMessage.Members(
+                            MessageFields.readList(unpacker, MeshCodec::readMember), unpacker.unpackBoolean());
+                case EVIDENCE -> new MeshMessage.Evidence(unpacker.unpackString(), observation(unpacker.unpackInt()));
+                case CATALOG_NEWS ->
+                    new MeshMessage.CatalogNews(
+                            unpacker.unpackLong(),
+                            unpacker.unpackLong(),
+                            unpacker.unpackLong(),
+                            unpacker.unpackInt(),
+                            MessageFields.readList(unpacker, MeshCodec::readServer),
+                            MessageFields.readList(unpacker, MessageUnpacker::unpackString));
+                default -> throw new IOException("unknown message type " + type);
+            };
+        } catch (RuntimeException e) {
+            throw new IOException("not a message of the mesh", e);
+        }
+    }
+
+    private static void write(MessagePacker packer, MeshMessage message) throws IOException {
+        if (message instanceof MeshMessage.Members members) {
+            packer.packInt(MEMBERS);
+            MessageFields.writeList(packer, members.members(), MeshCodec::writeMember);
+            packer.packBoolean(members.wantsReply());
+        } else if (message instanceof MeshMessage.Evidence evidence) {
+            packer.packInt(EVIDENCE);
+            packer.packString(evidence.serverKey());
+            packer.packInt(evidence.observation().code());
+        } else if (message instanceof MeshMessage.CatalogNews news) {
+            packer.packInt(CATALOG_NEWS);
+            packer.packLong(news.since());
+            packer.packLong(news.revision());
+            packer.packLong(news.configurationRevision());
+            packer.packInt(news.ageMillis());
+            MessageFields.writeList(packer, news.changed(), MeshCodec::writeServer);
+            MessageFields.writeList(packer, news.removed(), MessagePacker::packString);
+        }
+    }
+
+    private static void writeMember(MessagePacker packer, MemberEntry member) throws IOException {
+        writeAddress(packer, member.address());
+        packer.packLong(member.incarnation());
+        packer.packLong(member.heartbeat());
+        packer.packBoolean(member.isLeaving());
+    }
+
+    private static MemberEntry readMember(MessageUnpacker unpacker) throws IOException {
+        return new MemberEntry(
+                readAddress(unpacker), unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackBoolean());
+    }
+
+    private static void writeServer(MessagePacker packer, BackendServer server) throws IOException {
+        packer.packString(server.id());
+        packer.packLong(server.bornMillis());
+        packer.packString(server.service());
+        writeAddress(packer, server.address());
+        packer.packString(server.dataCentre());
+        packer.packInt(server.slots());
+        packer.packBoolean(server.isAccepting());
+        packer.packLong(server.coldMillis());
+    }
+
+    private static BackendServer readServer(MessageUnpacker unpacker) throws IOException {
+        return new BackendServer(
+                unpacker.unpackString(),
+                unpacker.unpackLong(),
+                unpacker.unpackString(),
+                readAddress(unpacker),
+                unpacker.unpackString(),
+                unpacker.unpackInt(),
+                unpacker.unpackBoolean(),
+                unpacker.unpackLong());
+    }
+
+    private static void writeAddress(MessagePacker packer, InetSocketAddress address) throws IOException {
+        MessageFields.writeBytes(packer, address.getAddress().getAddress());
+        packer.packInt(address.getPort());
+    }
+
+    private static InetSocketAddress readAddress(MessageUnpacker unpacker) throws IOException {
+        byte[] ip = MessageFields.readBytes(unpacker);
+        return new InetSocketAddress(InetAddress.getByAddress(ip), unpacker.unpackInt());
+    }
+
+    private static Observation observation(int code) throws IOException {
+        return Observation.ofCode(code).orElseThrow(() -> new IOException("unknown observation " + code));
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -0,0 +1,258 @@
+package io.coppershelf.proxy;
+
+import io.coppershelf.catalog.CallerLimits;
+import io.coppershelf.catalog.Route;
+import io.coppershelf.http.HttpAnswer;
+import io.coppershelf.outcome.ErrorKind;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A connection of a caller. Its requests are served one after the other; it is read all the while, since only a read
+ * shows that the caller has left.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+    /** Requests that a caller may send ahead; reading pauses beyond it. */
+    private static final int MAX_WAITING = 16;
+
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    private final TrafficContext context;
+    private final CallerLimits limits;
+    private final RouteGate gate;
+    private final Deque<CallerRequest> waiting = new ArrayDeque<>();
+    private Optional<HttpRequest> head = Optional.empty();
+    private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private long headAtNanos;
+    private Optional<RequestRun> run = Optional.empty();
+    private boolean isBusy;
+    private boolean isClosing;
+    private Optional<ScheduledFuture<?>> idleTimer = Optional.empty();
+    private Channel channel;
+
+    CallerConnection(TrafficContext context, CallerLimits limits) {
+        this.context = context;
+        this.limits = limits;
+        gate = new RouteGate(context);
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext handlerContext) {
+        channel = handlerContext.channel();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext handlerContext) {
+        startIdleTimer();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext handlerContext, Object message) {
+        try {
+            if (!isClosing) {
+                read((HttpObject) message);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    private void read(HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            refuse(malformed(message.decoderResult().cause()), "the request can't be read");
+            return;
+        }
+        if (message instanceof HttpRequest request) {
+            begin(request);
+        }
+        if (message instanceof HttpContent content && head.isPresent()) {
+            if (body.readableBytes() + content.content().readableBytes() > limits.bodyBytes()) {
+                refuse(ErrorKind.BODY_TOO_LARGE, "the body exceeds " + limits.bodyBytes() + " bytes");
+                return;
+            }
+            body.writeBytes(content.content());
+            if (message instanceof LastHttpContent) {
+                complete();
+            }
+        }
+    }
+
+    private void begin(HttpRequest request) {
+        idleTimer.ifPresent(scheduled -> scheduled.cancel(false));
+        head = Optional.of(request);
+        headAtNanos = System.nanoTime();
+        body = Unpooled.buffer();
+        if (HttpUtil.is100ContinueExpected(request)) {
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+    }
+
+    private void complete() {
+        HttpRequest request = head.orElseThrow();
+        head = Optional.empty();
+        byte[] bytes = new byte[body.readableBytes()];
+        body.readBytes(bytes);
+        body = Unpooled.EMPTY_BUFFER;
+        waiting.add(new CallerRequest(
+                request.method(), request.uri(), request.headers(), bytes, headAtNanos, HttpUtil.isKeepAlive(request)));
+        channel.config().setAutoRead(waiting.size() < MAX_WAITING);
+        serveNext();
+    }
+
+    private void serveNext() {
+        if (isBusy || waiting.isEmpty() || isClosing) {
+            return;
+        }
+        isBusy = true;
+        CallerRequest request = waiting.remove();
+        channel.config().setAutoRead(true);
+        Sink sink = new Sink(request);
+        Optional<Route> route = gate.route(request, sink);
+        if (route.isEmpty()) {
+            return;
+        }
+        RequestRun created = new RequestRun(
+                context, route.get(), context.split().next(route.get()), request, gate.callerWaits(request), sink);
+        run = Optional.of(created);
+        created.start();
+    }
+
+    private void answered(CallerRequest request, boolean isKept) {
+        isBusy = false;
+        run = Optional.empty();
+        if (!isKept || !request.isKeepAlive()) {
+            return;
+        }
+        if (waiting.isEmpty()) {
+            startIdleTimer();
+        } else {
+            context.loop().execute(this::serveNext);
+        }
+    }
+
+    private void startIdleTimer() {
+        idleTimer.ifPresent(scheduled -> scheduled.cancel(false));
+        idleTimer = Optional.of(
+                context.loop().schedule(this::closeIfIdle, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS));
+    }
+
+    /** Closes the connection unless a request is under way. */
+    void closeIfIdle() {
+        if (!isBusy && head.isEmpty() && waiting.isEmpty()) {
+            channel.close();
+        }
+    }
+
+    /** Answers a request that can't be read to its end, and closes the connection. */
+    private void refuse(ErrorKind kind, String reason) {
+        isClosing = true;
+        head = Optional.empty();
+        if (isBusy) {
+            channel.close();
+            return;
+        }
+        isBusy = true;
+        CallerRequest unread = new CallerRequest(HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false);
+        new Sink(unread).fail(kind, reason, Optional.empty());
+    }
+
+    private static ErrorKind malformed(Throwable cause) {
+        boolean isTooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        return isTooLong ? ErrorKind.HEAD_TOO_LARGE : ErrorKind.MALFORMED_REQUEST;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext handlerContext) {
+        isClosing = true;
+        idleTimer.ifPresent(scheduled -> scheduled.cancel(false));
+        run.ifPresent(RequestRun::callerLeft);
+        run = Optional.empty();
+        waiting.clear();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
+        handlerContext.close();
+    }
+
+    /** Writes the answer to one request. */
+    private final class Sink implements AnswerSink {
+        private final CallerRequest request;
+
+        Sink(CallerRequest request) {
+            this.request = request;
+        }
+
+        @Override
+        public void deliver(HttpAnswer answer) {
+            write(answer.status(), EndToEndHeaders.copy(answer.headers()), answer.body());
+        }
+
+        @Override
+        public void fail(ErrorKind kind, String reason, Optional<Duration> retryAfter) {
+            HttpHeaders headers = new DefaultHttpHeaders();
+            headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
+            headers.set("Coppershelf-Error", kind.code());
+            headers.set("Coppershelf-Outcome", kind.outcome().name().toLowerCase(Locale.ROOT));
+            String id = request.headers().get(context.names().requestId());
+            if (id != null) {
+                headers.set(context.names().requestId(), id);
+            }
+            retryAfter.ifPresent(delay ->
+                    headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(delay.toMillis() / MILLIS_PER_SECOND)));
+            write(kind.status(), headers, (reason + "\n").getBytes(StandardCharsets.UTF_8));
+        }
+
+        private void write(int status, HttpHeaders headers, byte[] bytes) {
+            boolean isKept =
+                    request.isKeepAlive() && !isClosing && !context.state().isStopping();
+            if (status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code()) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(bytes.length));
+            }
+            if (!isKept) {
+                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                isClosing = true;
+            }
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status),
+                    Unpooled.wrappedBuffer(bytes),
+                    headers,
+                    new DefaultHttpHeaders());
+            ChannelFuture written = channel.writeAndFlush(response);
+            if (!isKept) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+            answered(request, isKept);
+        }
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestRun.java
@@ -0,0 +1,268 @@
+package io.coppershelf.proxy;
+
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.Catalog;
+import io.coppershelf.catalog.RequestKind;
+import io.coppershelf.catalog.Route;
+import io.coppershelf.dispatch.RequestPlan;
+import io.coppershelf.dispatch.ServerChoice;
+import io.coppershelf.dispatch.Step;
+import io.coppershelf.dispatch.TypicalLatency;
+import io.coppershelf.eventlog.Fields;
+import io.coppershelf.http.HttpLink;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Carries out the plan of one request. Runs on the traffic thread. */
+final class RequestRun implements ServerChoice, ServerAttempt.Listener {
+    /** Taken off what is left of the caller's time, for the way of the answer. */
+    private static final long WAY_BACK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    /**
+     * A connection that was idle for longer is not used for a request that can't be sent again: it may have gone
+     * silent, and the loss of the request costs far more than a new connection.
+     */
+    private static final long ONCE_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
+
+    /** Connections that a server accepts from the whole fleet where the configuration does not say. */
+    private static final int DEFAULT_CONNECTION_CAP = 100;
+    /** A VM may always have this many connections to a server, or a large fleet could not send at all. */
+    private static final int MIN_CONNECTIONS = 2;
+
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    private final TrafficContext context;
+    private final Route route;
+    private final String service;
+    private final CallerRequest request;
+    private final AnswerSink sink;
+    private final String requestId;
+    private final long deadlineNanos;
+    private final TypicalLatency latency;
+    private final RequestPlan plan;
+    private final List<ServerAttempt> attempts = new ArrayList<>();
+    private Optional<ScheduledFuture<?>> timer = Optional.empty();
+    private boolean isEnded;
+
+    RequestRun(
+            TrafficContext context,
+            Route route,
+            String service,
+            CallerRequest request,
+            Optional<Duration> callerWaits,
+            AnswerSink sink) {
+        this.context = context;
+        this.route = route;
+        this.service = service;
+        this.request = request;
+        this.sink = sink;
+        requestId = Optional.ofNullable(request.headers().get(context.names().requestId()))
+                .orElse("");
+        long waits = callerWaits.orElse(route.timeout()).toNanos() - WAY_BACK_NANOS;
+        deadlineNanos = request.readAtNanos() + Math.min(route.timeout().toNanos(), waits);
+        latency = context.latency(service, route.kind().name());
+        plan = new RequestPlan(route, this, deadlineNanos, latency);
+    }
+
+    /** Sends the request for the first time. */
+    void start() {
+        context.metrics().begun();
+        long now = System.nanoTime();
+        context.budget().countRequest(service, now);
+        carryOut(plan.start(now));
+    }
+
+    /** The caller has left: work that may be repeated is stopped, other work is left to finish. */
+    void callerLeft() {
+        if (isEnded) {
+            return;
+        }
+        isEnded = true;
+        timer.ifPresent(scheduled -> scheduled.cancel(false));
+        if (route.kind().isRepeatable()) {
+            attempts.forEach(ServerAttempt::cancel);
+        }
+        finished("caller-left", "the caller closed its connection", false);
+    }
+
+    @Override
+    public Optional<BackendServer> choose(Set<String> excluded) {
+        Catalog catalog = context.state().catalog();
+        return context.chooser().choose(catalog.servers(), service, route.kind(), excluded, System.nanoTime());
+    }
+
+    @Override
+    public boolean takeRepeat() {
+        return context.budget().tryRepeat(service, context.state().fleetSize(), System.nanoTime());
+    }
+
+    @Override
+    public void ended(int number, ServerAttempt.End end, String detail) {
+        if (isEnded) {
+            return;
+        }
+        long now = System.nanoTime();
+        ServerAttempt attempt = attempts.get(number);
+        if (end == ServerAttempt.End.ANSWERED) {
+            latency.add(attempt.ageNanos());
+        } else {
+            logAttempt(attempt, number, end, detail);
+        }
+        carryOut(
+                switch (end) {
+                    case NOT_SENT -> plan.notSent(number, now);
+                    case NOT_RUN -> plan.notRun(number, now);
+                    case ANSWERED -> plan.answered(number);
+                    case FAILED -> plan.failed(number, now);
+                    case LOST -> plan.lost(number, now);
+                });
+    }
+
+    private void carryOut(List<Step> steps) {
+        for (Step step : steps) {
+            if (step instanceof Step.Send send) {
+                send(send);
+            } else if (step instanceof Step.ReportStall stall) {
+                attempts.get(stall.attempt()).reportStall();
+            } else if (step instanceof Step.Deliver deliver) {
+                end(deliver);
+            } else if (step instanceof Step.Fail fail) {
+                end(fail);
+            }
+        }
+        if (!isEnded) {
+            schedule();
+        }
+    }
+
+    private void schedule() {
+        timer.ifPresent(scheduled -> scheduled.cancel(false));
+        long delay = Math.max(0, plan.nextTimer(System.nanoTime()) - System.nanoTime());
+        timer = Optional.of(
+                context.loop().schedule(() -> carryOut(plan.timer(System.nanoTime())), delay, TimeUnit.NANOSECONDS));
+    }
+
+    private void send(Step.Send send) {
+        ServerAttempt attempt = new ServerAttempt(context, send.attempt(), send.server(), requestId, this);
+        attempts.add(attempt);
+        long maxIdle = route.kind() == RequestKind.ONCE ? ONCE_IDLE_NANOS : Long.MAX_VALUE;
+        context.pool()
+                .acquire(send.server(), maxIdle, maxConnections(), link -> write(attempt, link), attempt::notConnected);
+    }
+
+    /** Returns this VM's share of the connections that a server accepts. */
+    private int maxConnections() {
+        int cap = context.state()
+                .catalog()
+                .configuration()
+                .map(configuration -> configuration.connectionCaps().get(service))
+                .orElse(DEFAULT_CONNECTION_CAP);
+        return Math.max(MIN_CONNECTIONS, cap / context.state().fleetSize());
+    }
+
+    private void write(ServerAttempt attempt, HttpLink link) {
+        long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+        boolean isDrained = context.state()
+                .catalog()
+                .servers()
+                .server(attempt.server().id())
+                .filter(known -> known.isAccepting() && known.isSameIncarnation(attempt.server()))
+                .isEmpty();
+        if (attempt.isEnded() || isEnded || isDrained || leftMillis <= 0) {
+            link.close();
+            attempt.notSent(isDrained ? "the server is leaving" : "no time is left");
+            return;
+        }
+        attempt.sending(link);
+        DefaultFullHttpRequest outgoing = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                Unpooled.wrappedBuffer(request.body()),
+                headersFor(attempt.server(), leftMillis),
+                new DefaultHttpHeaders());
+        link.exchange(outgoing, attempt);
+    }
+
+    private HttpHeaders headersFor(BackendServer server, long leftMillis) {
+        HttpHeaders headers = EndToEndHeaders.copy(request.headers());
+        headers.set(context.names().deadlineMillis(), Long.toString(leftMillis));
+        headers.set(context.names().targetServer(), server.id());
+        if (request.body().length > 0 || EndToEndHeaders.announcesBody(request.headers())) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(request.body().length));
+        }
+        return headers;
+    }
+
+    private void end(Step.Deliver deliver) {
+        ServerAttempt attempt = attempts.get(deliver.attempt());
+        isEnded = true;
+        stopOthers();
+        boolean isSuccess = attempt.answer().status() < FIRST_SERVER_ERROR;
+        finished(
+                isSuccess ? "answered" : "server-failure",
+                "status " + attempt.answer().status() + " of "
+                        + attempt.server().id(),
+                isSuccess);
+        sink.deliver(attempt.answer());
+    }
+
+    private void end(Step.Fail fail) {
+        isEnded = true;
+        stopOthers();
+        finished(fail.kind().code(), fail.reason(), false);
+        sink.fail(fail.kind(), fail.reason(), fail.retryAfter());
+    }
+
+    private void stopOthers() {
+        timer.ifPresent(scheduled -> scheduled.cancel(false));
+        attempts.forEach(ServerAttempt::cancel);
+    }
+
+    private void finished(String outcome, String reason, boolean isRoutine) {
+        long tookNanos = System.nanoTime() - request.readAtNanos();
+        context.metrics().ended();
+        context.metrics().request(outcome, tookNanos);
+        Map<String, Object> fields = Fields.of(
+                "request", requestId,
+                "route", route.name(),
+                "service", service,
+                "outcome", outcome,
+                "reason", reason,
+                "tookMs", TimeUnit.NANOSECONDS.toMillis(tookNanos),
+                "leftMs", TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime()),
+                "servers", plan.serversReached(),
+                "attempts", attempts.size());
+        if (isRoutine) {
+            context.log().routine("request-ended", fields);
+        } else {
+            context.log().important("request-ended", fields);
+        }
+    }
+
+    private void logAttempt(ServerAttempt attempt, int number, ServerAttempt.End end, String detail) {
+        Catalog catalog = context.state().catalog();
+        context.log()
+                .important(
+                        "attempt-ended",
+                        Fields.of(
+                                "request", requestId,
+                                "attempt", number,
+                                "server", attempt.server().id(),
+                                "end", end.name(),
+                                "detail", detail,
+                                "tookMs", TimeUnit.NANOSECONDS.toMillis(attempt.ageNanos()),
+                                "serversRevision", catalog.servers().revision()));
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RouteGate.java
@@ -0,0 +1,76 @@
+package io.coppershelf.proxy;
+
+import io.coppershelf.catalog.FleetConfiguration;
+import io.coppershelf.catalog.Route;
+import io.coppershelf.eventlog.Fields;
+import io.coppershelf.outcome.ErrorKind;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.time.Duration;
+import java.util.Optional;
+
+/** Finds the route of a request, or answers it if there is none. */
+final class RouteGate {
+    private static final Duration STARTING_RETRY_AFTER = Duration.ofMillis(500);
+    /** Digits of a deadline that is taken for valid; more would overflow. */
+    private static final int MAX_DEADLINE_DIGITS = 12;
+
+    private final TrafficContext context;
+
+    RouteGate(TrafficContext context) {
+        this.context = context;
+    }
+
+    /** Returns the route; if it is empty, the request has been answered. */
+    Optional<Route> route(CallerRequest request, AnswerSink sink) {
+        Optional<FleetConfiguration> configuration = context.state().catalog().configuration();
+        if (configuration.isEmpty()) {
+            refuse(request, sink, ErrorKind.STARTING, "no configuration is known yet", 0);
+            return Optional.empty();
+        }
+        String host = request.headers().get(HttpHeaderNames.HOST);
+        if (host == null) {
+            refuse(request, sink, ErrorKind.MALFORMED_REQUEST, "the request names no host", 0);
+            return Optional.empty();
+        }
+        Optional<Route> route = configuration.get().routes().match(host, request.uri());
+        if (route.isEmpty()) {
+            refuse(
+                    request,
+                    sink,
+                    ErrorKind.UNKNOWN_ROUTE,
+                    "no route for this host and path",
+                    configuration.get().version());
+        }
+        return route;
+    }
+
+    /** Returns how long the caller waits, if it says so. */
+    Optional<Duration> callerWaits(CallerRequest request) {
+        String text = request.headers().get(context.names().deadlineMillis());
+        boolean isNumber = text != null
+                && !text.isEmpty()
+                && text.length() <= MAX_DEADLINE_DIGITS
+                && text.chars().allMatch(Character::isDigit);
+        return isNumber ? Optional.of(Duration.ofMillis(Long.parseLong(text))) : Optional.empty();
+    }
+
+    private void refuse(CallerRequest request, AnswerSink sink, ErrorKind kind, String reason, long version) {
+        String id = request.headers().get(context.names().requestId());
+        context.metrics().request(kind.code(), System.nanoTime() - request.readAtNanos());
+        context.log()
+                .important(
+                        "request-refused",
+                        Fields.of(
+                                "request",
+                                id == null ? "" : id,
+                                "outcome",
+                                kind.code(),
+                                "reason",
+                                reason,
+                                "configurationVersion",
+                                version));
+        Optional<Duration> retryAfter =
+                kind == ErrorKind.STARTING ? Optional.of(STARTING_RETRY_AFTER) : Optional.empty();
+        sink.fail(kind, reason, retryAfter);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
@@ -0,0 +1,45 @@
+package io.coppershelf.proxy;
+
+import io.coppershelf.dispatch.RetryBudget;
+import io.coppershelf.dispatch.ServerChooser;
+import io.coppershelf.dispatch.TypicalLatency;
+import io.coppershelf.dispatch.WeightedSplit;
+import io.coppershelf.eventlog.EventLog;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What all requests of this VM share. Belongs to the traffic thread.
+ *
+ * @param loop the traffic thread
+ */
+record TrafficContext(
+        EventLoop loop,
+        HeaderNames names,
+        TrafficState state,
+        ServerChooser chooser,
+        RetryBudget budget,
+        WeightedSplit split,
+        ServerPool pool,
+        TrafficMetrics metrics,
+        EventLog log,
+        Map<String, TypicalLatency> latencies) {
+    static TrafficContext create(
+            EventLoop loop,
+            HeaderNames names,
+            TrafficState state,
+            ServerChooser chooser,
+            RetryBudget budget,
+            WeightedSplit split,
+            ServerPool pool,
+            TrafficMetrics metrics,
+            EventLog log) {
+        return new TrafficContext(loop, names, state, chooser, budget, split, pool, metrics, log, new HashMap<>());
+    }
+
+    /** Returns the usual times of a service for one kind of requests. */
+    TypicalLatency latency(String service, String kind) {
+        return latencies.computeIfAbsent(service + '/' + kind, key -> new TypicalLatency());
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficMetrics.java
@@ -0,0 +1,59 @@
+package io.coppershelf.proxy;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Counters and histograms of the traffic path. Label values are kinds and outcomes, never names of routes or servers.
+ */
+final class TrafficMetrics {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final Counter requests;
+    private final Counter attempts;
+    private final Histogram duration;
+    private final AtomicInteger underWay = new AtomicInteger();
+
+    TrafficMetrics(PrometheusRegistry registry) {
+        requests = Counter.builder()
+                .name("coppershelf_requests_total")
+                .help("Requests of callers by outcome")
+                .labelNames("outcome")
+                .register(registry);
+        attempts = Counter.builder()
+                .name("coppershelf_attempts_total")
+                .help("Requests sent to backend servers by outcome")
+                .labelNames("outcome")
+                .register(registry);
+        duration = Histogram.builder()
+                .name("coppershelf_request_duration_seconds")
+                .help("Time from the end of a request's head to its answer")
+                .classicOnly()
+                .classicUpperBounds(0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8)
+                .register(registry);
+    }
+
+    void begun() {
+        underWay.incrementAndGet();
+    }
+
+    void ended() {
+        underWay.decrementAndGet();
+    }
+
+    /** Returns the requests that have no answer yet. */
+    int underWay() {
+        return underWay.get();
+    }
+
+    void request(String outcome, long nanos) {
+        requests.labelValues(outcome).inc();
+        duration.observe(nanos / NANOS_PER_SECOND);
+    }
+
+    void attempt(String outcome) {
+        attempts.labelValues(outcome).inc();
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -0,0 +1,118 @@
+package io.coppershelf.proxy;
+
+import io.coppershelf.belief.BeliefTable;
+import io.coppershelf.catalog.CallerLimits;
+import io.coppershelf.catalog.Catalog;
+import io.coppershelf.catalog.FleetConfiguration;
+import io.coppershelf.dispatch.RetryBudget;
+import io.coppershelf.dispatch.ServerChooser;
+import io.coppershelf.dispatch.WeightedSplit;
+import io.coppershelf.eventlog.EventLog;
+import io.coppershelf.http.HttpConnector;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+/** Serves callers on one address. */
+public final class TrafficServer {
+    /** Longest wait for a connection to a server; the network of a region answers within milliseconds. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+    /** Connections that wait to be accepted; a caller's opening packet is lost beyond it. */
+    private static final int BACKLOG = 1024;
+
+    private static final int MAX_CHUNK_BYTES = 64 * 1024;
+    private static final long SWEEP_MILLIS = 1000;
+
+    private final TrafficContext context;
+    private final ChannelGroup callers;
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param loop the traffic thread
+     * @param dataCentre the data centre of this VM
+     */
+    public TrafficServer(
+            EventLoop loop,
+            HeaderNames names,
+            TrafficState state,
+            BeliefTable beliefs,
+            RetryBudget budget,
+            String dataCentre,
+            PrometheusRegistry registry,
+            EventLog log) {
+        Random random = new Random();
+        callers = new DefaultChannelGroup(loop);
+        context = TrafficContext.create(
+                loop,
+                names,
+                state,
+                new ServerChooser(dataCentre, beliefs, random),
+                budget,
+                new WeightedSplit(random),
+                new ServerPool(new HttpConnector(loop, CONNECT_TIMEOUT)),
+                new TrafficMetrics(registry),
+                log);
+    }
+
+    /** Listens; callers are served from then on. */
+    public void listen(InetSocketAddress address) {
+        new ServerBootstrap()
+                .group(context.loop(), context.loop())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new CallerInitializer())
+                .bind(address)
+                .syncUninterruptibly();
+        context.loop().scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns how many requests have no answer yet. */
+    public int requestsUnderWay() {
+        return context.metrics().underWay();
+    }
+
+    /** Closes the connections of callers that have no request under way; the others close after their answers. */
+    public void closeIdleCallers() {
+        context.loop()
+                .execute(() -> callers.forEach(channel ->
+                        channel.pipeline().get(CallerConnection.class).closeIfIdle()));
+    }
+
+    private void sweep() {
+        Catalog catalog = context.state().catalog();
+        context.pool().sweep(catalog.servers(), System.nanoTime());
+        context.chooser().retain(catalog.servers());
+    }
+
+    /** Equips the connection of a caller. */
+    private final class CallerInitializer extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            CallerLimits limits = context.state()
+                    .catalog()
+                    .configuration()
+                    .map(FleetConfiguration::limits)
+                    .orElse(CallerLimits.DEFAULT);
+            callers.add(channel);
+            channel.pipeline()
+                    .addLast(new HttpServerCodec(limits.headBytes(), limits.headBytes(), MAX_CHUNK_BYTES))
+                    .addLast(new CallerConnection(context, limits));
+        }
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficState.java
@@ -0,0 +1,20 @@
+package io.coppershelf.proxy;
+
+import io.coppershelf.belief.Observation;
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.Catalog;
+
+/** What the traffic path is told by the control state, and tells it. Every method may be called by any thread. */
+public interface TrafficState {
+    /** Returns the newest catalog. */
+    Catalog catalog();
+
+    /** Returns the number of VMs in the fleet, at least 1. */
+    int fleetSize();
+
+    /** Returns whether the VM is leaving and asks callers to use another one. */
+    boolean isStopping();
+
+    /** Takes the outcome of a request at a server. */
+    void observed(BackendServer server, Observation observation);
+}
