--- a/coppershelf/src/main/java/io/coppershelf/belief/BeliefTable.java
+++ b/coppershelf/src/main/java/io/coppershelf/belief/BeliefTable.java
@@ -12,12 +12,12 @@
      * Takes an observation into account.
      *
      * @param serverKey the server and its incarnation
-     * @return whether it is news for the fleet: bad, or good of a server that was suspected
+     * @return whether it is news for the fleet: bad, or good of a server about which little was known
      */
     public boolean observe(String serverKey, Observation observation, long nowNanos) {
         ServerBelief before = belief(serverKey, nowNanos);
         beliefs.put(serverKey, before.after(observation, nowNanos));
-        return observation.isBad() || before.isSuspect(nowNanos);
+        return observation.isBad() || before.isUncertain(nowNanos);
     }
 
     /** Returns the belief in a server. */
--- a/coppershelf/src/main/java/io/coppershelf/belief/ServerBelief.java
+++ b/coppershelf/src/main/java/io/coppershelf/belief/ServerBelief.java
@@ -12,9 +12,9 @@
  */
 public record ServerBelief(double sickness, long atNanos, int badObservations) {
     /** Mean time that a server stays sick, in seconds; gray failures of the workloads last several seconds. */
-    static final double MEAN_SICK_SECONDS = 5;
-    /** Mean time that a server stays well, in seconds; at any time about a tenth of the servers is sick. */
-    static final double MEAN_WELL_SECONDS = 45;
+    static final double MEAN_SICK_SECONDS = 10;
+    /** Mean time that a server stays well, in seconds; at any time up to a quarter of the servers fail grayly. */
+    static final double MEAN_WELL_SECONDS = 30;
     /** The share of the time that a server is sick, which is believed of a server without observations. */
     public static final double BASE_SICKNESS = MEAN_SICK_SECONDS / (MEAN_SICK_SECONDS + MEAN_WELL_SECONDS);
 
@@ -23,8 +23,10 @@
     private static final double LOWEST = 0.002;
 
     private static final double HIGHEST = 0.995;
-    /** From this probability on, peers hear of good observations too, since they are news. */
-    private static final double SUSPECT = 0.3;
+    /** From this probability on, a server counts as suspected in logs. */
+    private static final double SUSPECT = 0.4;
+    /** From this probability on, peers hear of good observations too; below it they would learn little from one. */
+    private static final double UNCERTAIN = 0.1;
 
     /** Returns the belief in a server without observations. */
     public static ServerBelief initial(long nowNanos) {
@@ -45,6 +47,11 @@
         return BASE_SICKNESS + (sickness - BASE_SICKNESS) * Math.exp(-RELAXATION_PER_SECOND * seconds);
     }
 
+    /** Returns whether a good observation is worth telling others at a time. */
+    boolean isUncertain(long nowNanos) {
+        return sicknessAt(nowNanos) >= UNCERTAIN;
+    }
+
     /** Returns whether the server is suspected at a time. */
     public boolean isSuspect(long nowNanos) {
         return sicknessAt(nowNanos) >= SUSPECT;
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
@@ -174,7 +174,7 @@
         if (reached >= route.maxServers() || attempts.size() - reached >= MAX_CONNECTION_FAILURES) {
             return Optional.empty();
         }
-        Optional<BackendServer> server = choice.choose(usedServers);
+        Optional<BackendServer> server = choice.choose(usedServers, isLastChance(reached));
         if (server.isEmpty() || (reached > 0 && !choice.takeRepeat())) {
             return Optional.empty();
         }
@@ -183,6 +183,10 @@
         return Optional.of(new Step.Send(attempts.size() - 1, server.get(), reason));
     }
 
+    private boolean isLastChance(int reached) {
+        return !route.kind().isRepeatable() || reached + 1 >= route.maxServers();
+    }
+
     /** Ends the request with the best answer that is true. */
     private List<Step> end(long nowNanos) {
         isEnded = true;
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChoice.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChoice.java
@@ -6,8 +6,12 @@
 
 /** Chooses servers for one request. */
 public interface ServerChoice {
-    /** Returns the best server whose id is not excluded. */
-    Optional<BackendServer> choose(Set<String> excluded);
+    /**
+     * Returns the best server whose id is not excluded.
+     *
+     * @param isLastChance whether the request can't be sent again if the server fails it
+     */
+    Optional<BackendServer> choose(Set<String> excluded, boolean isLastChance);
 
     /** Takes one repeat from the budget of the service; returns whether it had any left. */
     boolean takeRepeat();
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -5,6 +5,7 @@
 import io.coppershelf.catalog.RequestKind;
 import io.coppershelf.catalog.ServerList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -18,7 +19,7 @@
  */
 public final class ServerChooser {
     /** Loss by a failure, as a share of the worth of a request that can't be sent again. */
-    private static final double ONCE_FAILURE_LOSS = 1.0;
+    private static final double LAST_FAILURE_LOSS = 1.0;
     /** Loss by a failure of a request that may be sent again: the delay, and a second place at a server. */
     private static final double REPEATABLE_FAILURE_LOSS = 0.35;
     /** Share of the requests that a sick server fails. */
@@ -32,7 +33,7 @@
     /** Loss by the bytes of a small answer between data centres. */
     private static final double REMOTE_LOSS = 0.012;
     /** Loss by the bytes of a large answer between data centres. */
-    private static final double REMOTE_LARGE_LOSS = 0.3;
+    private static final double REMOTE_LARGE_LOSS = 0.05;
     /** Loss where the last connection attempts failed. */
     private static final double BROKEN_PATH_LOSS = 2.0;
     /** Spreads choices among servers that are about as good. */
@@ -68,17 +69,19 @@
     /**
      * Returns the server for a request, empty if all servers of the service are excluded.
      *
+     * @param servers the servers of the service that take requests
+     * @param isLastChance whether the request can't be sent again if the server fails it
      * @param excluded the ids of servers that have had the request
      */
     public Optional<BackendServer> choose(
-            ServerList servers, String service, RequestKind kind, Set<String> excluded, long nowNanos) {
+            List<BackendServer> servers, RequestKind kind, boolean isLastChance, Set<String> excluded, long nowNanos) {
         BackendServer best = null;
         double bestLoss = Double.POSITIVE_INFINITY;
-        for (BackendServer server : servers.accepting(service)) {
+        for (BackendServer server : servers) {
             if (excluded.contains(server.id())) {
                 continue;
             }
-            double loss = loss(server, kind, nowNanos);
+            double loss = loss(server, kind, isLastChance, nowNanos);
             if (loss < bestLoss) {
                 best = server;
                 bestLoss = loss;
@@ -88,10 +91,10 @@
     }
 
     /** Returns the expected loss of sending a request to the server, as a share of its worth. */
-    double loss(BackendServer server, RequestKind kind, long nowNanos) {
+    double loss(BackendServer server, RequestKind kind, boolean isLastChance, long nowNanos) {
         String key = keyOf(server);
         double failure = SICK_FAILURE_SHARE * beliefs.belief(key, nowNanos).sicknessAt(nowNanos);
-        double loss = failure * (kind.isRepeatable() ? REPEATABLE_FAILURE_LOSS : ONCE_FAILURE_LOSS);
+        double loss = failure * (isLastChance ? LAST_FAILURE_LOSS : REPEATABLE_FAILURE_LOSS);
         ServerUse use = uses.get(key);
         if (use != null) {
             loss += loadLoss(use.busy(nowNanos), server.slots());
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -120,7 +120,7 @@
         long now = now();
         ticks++;
         if (ticks % TICKS_PER_MEMBERS == 1) {
-            membership.nextReceiver(now).ifPresent(receiver -> send(receiver, members(false)));
+            membership.nextReceiver(now).ifPresent(receiver -> send(receiver, members(true)));
             fleetSize = membership.fleetSize();
         }
         if (!isReading && schedule.isDue(membership.rank(now), membership.ageNanos(now), now)) {
@@ -138,12 +138,12 @@
     }
 
     private void received(InetSocketAddress sender, MeshMessage message) {
+        membership.heardFrom(sender, now());
         if (message instanceof MeshMessage.Members members) {
             boolean hasNew = membership.heard(members.members(), now());
             fleetSize = membership.fleetSize();
-            boolean isStranger = hasNew || members.wantsReply();
-            if (isStranger) {
-                send(sender, new MeshMessage.Members(membership.nextEntries(true, now()), false));
+            if (hasNew || members.wantsReply()) {
+                send(sender, new MeshMessage.Members(membership.nextEntries(hasNew, now()), false));
             }
         } else if (message instanceof MeshMessage.Evidence evidence) {
             boolean wasSuspect = beliefs.belief(evidence.serverKey(), now()).isSuspect(now());
--- a/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
@@ -20,11 +20,11 @@
  */
 public final class Membership {
     /** Time without a new heartbeat after which a VM counts as gone; several rounds of gossip. */
-    static final long GONE_NANOS = TimeUnit.SECONDS.toNanos(6);
+    static final long GONE_NANOS = TimeUnit.SECONDS.toNanos(8);
     /** Time after which a VM that is gone is forgotten; its return is heard of sooner. */
     static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(30);
     /** Entries of other VMs in one message, so that it stays within one packet. */
-    private static final int ENTRIES_PER_MESSAGE = 12;
+    private static final int ENTRIES_PER_MESSAGE = 16;
 
     private final InetSocketAddress self;
     private final long incarnation;
@@ -67,17 +67,25 @@
         return hasNew;
     }
 
-    /** Returns what this VM says in its next message: of itself first, then of some others. */
+    /** Takes any message as a sign of life of a VM that is known. */
+    public void heardFrom(InetSocketAddress sender, long nowNanos) {
+        Member known = members.get(sender);
+        if (known != null && !known.isGone(nowNanos)) {
+            members.put(sender, new Member(known.entry, nowNanos));
+        }
+    }
+
+    /** Returns what this VM says in its next message: of itself first, then the latest it heard of others. */
     public List<MemberEntry> nextEntries(boolean isComplete, long nowNanos) {
         heartbeat++;
-        List<MemberEntry> others = new ArrayList<>();
-        members.values().stream()
-                .filter(member -> !member.isGone(nowNanos))
-                .forEach(member -> others.add(member.entry));
+        List<Member> others = new ArrayList<>(members.values());
+        others.removeIf(member -> member.isGone(nowNanos));
         Collections.shuffle(others, random);
+        others.sort(Comparator.comparingLong(member -> nowNanos - member.heardAtNanos));
+        int limit = isComplete ? others.size() : Math.min(ENTRIES_PER_MESSAGE, others.size());
         List<MemberEntry> entries = new ArrayList<>();
         entries.add(new MemberEntry(self, incarnation, heartbeat, isLeaving));
-        entries.addAll(isComplete ? others : others.subList(0, Math.min(ENTRIES_PER_MESSAGE, others.size())));
+        others.subList(0, limit).forEach(member -> entries.add(member.entry));
         return entries;
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -10,7 +10,7 @@
      * Who is there.
      *
      * @param members the sender first, then others
-     * @param wantsReply whether the sender needs to know the whole fleet
+     * @param wantsReply whether the sender wants to hear what the receiver knows
      */
     record Members(List<MemberEntry> members, boolean wantsReply) implements MeshMessage {}
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestRun.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestRun.java
@@ -97,9 +97,10 @@
     }
 
     @Override
-    public Optional<BackendServer> choose(Set<String> excluded) {
+    public Optional<BackendServer> choose(Set<String> excluded, boolean isLastChance) {
         Catalog catalog = context.state().catalog();
-        return context.chooser().choose(catalog.servers(), service, route.kind(), excluded, System.nanoTime());
+        return context.chooser()
+                .choose(catalog.servers().accepting(service), route.kind(), isLastChance, excluded, System.nanoTime());
     }
 
     @Override
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/belief/ServerBeliefTest.java
@@ -0,0 +1,67 @@
+package io.coppershelf.belief;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Pattern: a server fails most requests for some seconds while its probes are good, and each VM sees it rarely. */
+final class ServerBeliefTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    @Test
+    void oneFailureOfAnUnknownServerMakesItSuspect() {
+        ServerBelief belief = ServerBelief.initial(0).after(Observation.FAILURE, 0);
+        assertThat(belief.isSuspect(0)).isTrue();
+    }
+
+    @Test
+    void oneFailureOfAProvenServerIsForgivenAfterASuccess() {
+        ServerBelief belief = ServerBelief.initial(0);
+        for (int i = 0; i < 10; i++) {
+            belief = belief.after(Observation.SUCCESS, 0);
+        }
+        ServerBelief failedOnce = belief.after(Observation.FAILURE, 0);
+        assertThat(failedOnce.sicknessAt(0)).isLessThan(0.3);
+        assertThat(failedOnce.after(Observation.SUCCESS, 0).isSuspect(0)).isFalse();
+    }
+
+    @Test
+    void twoFailuresOfAProvenServerMakeItSuspect() {
+        ServerBelief belief = ServerBelief.initial(0);
+        for (int i = 0; i < 10; i++) {
+            belief = belief.after(Observation.SUCCESS, 0);
+        }
+        belief = belief.after(Observation.FAILURE, 0).after(Observation.FAILURE, 0);
+        assertThat(belief.isSuspect(0)).isTrue();
+    }
+
+    @Test
+    void suspicionFadesWithoutObservations() {
+        ServerBelief belief = ServerBelief.initial(0).after(Observation.FAILURE, 0);
+        assertThat(belief.sicknessAt(60 * SECOND)).isWithin(0.01).of(ServerBelief.BASE_SICKNESS);
+    }
+
+    @Test
+    void successesOfASickServerRestoreTrustWithinAFewRequests() {
+        ServerBelief belief = ServerBelief.initial(0);
+        for (int i = 0; i < 20; i++) {
+            belief = belief.after(Observation.FAILURE, 0);
+        }
+        for (int i = 0; i < 8; i++) {
+            belief = belief.after(Observation.SUCCESS, 0);
+        }
+        assertThat(belief.isSuspect(0)).isFalse();
+    }
+
+    @Test
+    void tableTellsNewsOnlyOfWhatOthersDoNotExpect() {
+        BeliefTable table = new BeliefTable();
+        assertThat(table.observe("s", Observation.SUCCESS, 0)).isTrue();
+        for (int i = 0; i < 5; i++) {
+            table.observe("s", Observation.SUCCESS, 0);
+        }
+        assertThat(table.observe("s", Observation.SUCCESS, 0)).isFalse();
+        assertThat(table.observe("s", Observation.FAILURE, 0)).isTrue();
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
@@ -0,0 +1,182 @@
+package io.coppershelf.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.RequestKind;
+import io.coppershelf.outcome.ErrorKind;
+import io.coppershelf.outcome.Outcome;
+import io.coppershelf.testing.Catalogs;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class RequestPlanTest {
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long DEADLINE = 5000 * MILLI;
+
+    private final FakeChoice choice = new FakeChoice("a", "b", "c");
+
+    @Test
+    void onceRequestIsNotSentAgainAfterALostAnswer() {
+        RequestPlan plan = started(RequestKind.ONCE);
+        Step.Fail fail = fail(plan.lost(0, MILLI));
+        assertThat(fail.kind()).isEqualTo(ErrorKind.SERVER_LOST);
+        assertThat(fail.kind().outcome()).isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void onceRequestIsSentAgainWhenNoByteWasSent() {
+        RequestPlan plan = started(RequestKind.ONCE);
+        assertThat(send(plan.notSent(0, MILLI)).server().id()).isEqualTo("b");
+    }
+
+    @Test
+    void onceRequestIsSentAgainWhenTheServerStatesThatItHasNotRun() {
+        RequestPlan plan = started(RequestKind.ONCE);
+        assertThat(send(plan.notRun(0, MILLI)).server().id()).isEqualTo("b");
+    }
+
+    @Test
+    void refusalByAllServersIsToldAsNotRunWithATimeToComeBack() {
+        RequestPlan plan = started(RequestKind.ONCE);
+        plan.notRun(0, MILLI);
+        Step.Fail fail = fail(plan.notRun(1, MILLI));
+        assertThat(fail.kind()).isEqualTo(ErrorKind.SERVER_REFUSED);
+        assertThat(fail.retryAfter()).isPresent();
+    }
+
+    @Test
+    void repeatableRequestThatWasLostOnceAndRefusedOnceIsNotToldAsNotRun() {
+        RequestPlan plan = started(RequestKind.REPEATABLE);
+        plan.lost(0, MILLI);
+        assertThat(fail(plan.notRun(1, MILLI)).kind().outcome()).isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void failureOfTheServerIsDeliveredWhenNoServerIsLeft() {
+        RequestPlan plan = started(RequestKind.REPEATABLE);
+        plan.failed(0, MILLI);
+        List<Step> steps = plan.failed(1, 2 * MILLI);
+        assertThat(steps).containsExactly(new Step.Deliver(0));
+    }
+
+    @Test
+    void requestIsNotSentToMoreServersThanTheRouteAllows() {
+        RequestPlan plan = started(RequestKind.REPEATABLE);
+        plan.failed(0, MILLI);
+        plan.failed(1, MILLI);
+        assertThat(plan.serversReached()).isEqualTo(2);
+    }
+
+    @Test
+    void emptyBudgetKeepsARequestFromBeingSentAgain() {
+        choice.hasBudget = false;
+        RequestPlan plan = started(RequestKind.REPEATABLE);
+        assertThat(plan.failed(0, MILLI)).containsExactly(new Step.Deliver(0));
+    }
+
+    @Test
+    void failedConnectionNeedsNoBudget() {
+        choice.hasBudget = false;
+        RequestPlan plan = started(RequestKind.ONCE);
+        assertThat(send(plan.notSent(0, MILLI)).attempt()).isEqualTo(1);
+    }
+
+    @Test
+    void slowRepeatableRequestGoesToASecondServerAsWell() {
+        RequestPlan plan = started(RequestKind.REPEATABLE);
+        long due = plan.nextTimer(0);
+        assertThat(due).isLessThan(2000 * MILLI);
+        assertThat(send(plan.timer(due)).server().id()).isEqualTo("b");
+        assertThat(plan.answered(1)).containsExactly(new Step.Deliver(1));
+    }
+
+    @Test
+    void slowOnceRequestStaysWhereItIsAndTheServerIsReported() {
+        RequestPlan plan = started(RequestKind.ONCE);
+        assertThat(plan.timer(plan.nextTimer(0))).containsExactly(new Step.ReportStall(0));
+        assertThat(plan.nextTimer(3000 * MILLI)).isEqualTo(DEADLINE);
+    }
+
+    @Test
+    void deadlineOfASentRequestEndsItWithAnUnknownOutcome() {
+        RequestPlan plan = started(RequestKind.ONCE);
+        assertThat(fail(plan.timer(DEADLINE)).kind()).isEqualTo(ErrorKind.DEADLINE_PASSED);
+    }
+
+    @Test
+    void requestWithoutAnyServerIsRefusedAtOnce() {
+        RequestPlan plan = plan(RequestKind.ONCE, new FakeChoice());
+        Step.Fail fail = fail(plan.start(0));
+        assertThat(fail.kind()).isEqualTo(ErrorKind.NO_SERVER);
+        assertThat(fail.retryAfter()).isPresent();
+    }
+
+    @Test
+    void lastChanceOfARepeatableRequestIsTold() {
+        RequestPlan plan = started(RequestKind.REPEATABLE);
+        assertThat(choice.isLastChance).isFalse();
+        plan.failed(0, MILLI);
+        assertThat(choice.isLastChance).isTrue();
+    }
+
+    @Test
+    void answersAfterTheEndChangeNothing() {
+        RequestPlan plan = started(RequestKind.REPEATABLE);
+        plan.answered(0);
+        assertThat(plan.lost(0, MILLI)).isEmpty();
+        assertThat(plan.timer(DEADLINE)).isEmpty();
+    }
+
+    private RequestPlan started(RequestKind kind) {
+        RequestPlan plan = plan(kind, choice);
+        assertThat(send(plan.start(0)).server().id()).isEqualTo("a");
+        return plan;
+    }
+
+    private static RequestPlan plan(RequestKind kind, ServerChoice choice) {
+        return new RequestPlan(Catalogs.route(kind), choice, DEADLINE, new TypicalLatency());
+    }
+
+    private static Step.Send send(List<Step> steps) {
+        assertThat(steps).hasSize(1);
+        assertThat(steps.get(0)).isInstanceOf(Step.Send.class);
+        return (Step.Send) steps.get(0);
+    }
+
+    private static Step.Fail fail(List<Step> steps) {
+        assertThat(steps).hasSize(1);
+        assertThat(steps.get(0)).isInstanceOf(Step.Fail.class);
+        return (Step.Fail) steps.get(0);
+    }
+
+    private static final class FakeChoice implements ServerChoice {
+        private final Deque<BackendServer> servers = new ArrayDeque<>();
+        private boolean hasBudget = true;
+        private boolean isLastChance;
+
+        FakeChoice(String... ids) {
+            for (String id : ids) {
+                servers.add(Catalogs.server(id, "here"));
+            }
+        }
+
+        @Override
+        public Optional<BackendServer> choose(Set<String> excluded, boolean lastChance) {
+            isLastChance = lastChance;
+            return servers.stream()
+                    .filter(server -> !excluded.contains(server.id()))
+                    .findFirst();
+        }
+
+        @Override
+        public boolean takeRepeat() {
+            return hasBudget;
+        }
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
@@ -0,0 +1,79 @@
+package io.coppershelf.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.coppershelf.belief.BeliefTable;
+import io.coppershelf.belief.Observation;
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.RequestKind;
+import io.coppershelf.testing.Catalogs;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class ServerChooserTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final BeliefTable beliefs = new BeliefTable();
+    private final ServerChooser chooser = new ServerChooser("here", beliefs, new Random(7));
+    private final BackendServer near = Catalogs.server("near", "here");
+    private final BackendServer far = Catalogs.server("far", "there");
+
+    @Test
+    void equalServersAreChosenInTheOwnDataCentre() {
+        trust(near);
+        trust(far);
+        assertThat(chosen(RequestKind.ONCE)).hasValue(near);
+    }
+
+    @Test
+    void sickServerIsAvoidedEvenIfTheOtherIsRemote() {
+        beliefs.observe(ServerChooser.keyOf(near), Observation.FAILURE, 0);
+        assertThat(chosen(RequestKind.ONCE)).hasValue(far);
+        assertThat(chosen(RequestKind.LARGE_ANSWER)).hasValue(far);
+    }
+
+    @Test
+    void sickServerIsStillChosenWhenItIsTheOnlyOne() {
+        beliefs.observe(ServerChooser.keyOf(near), Observation.FAILURE, 0);
+        assertThat(chooser.choose(List.of(near), RequestKind.ONCE, true, Set.of(), 0))
+                .hasValue(near);
+    }
+
+    @Test
+    void provenServerTakesMoreThanItsSlotsBeforeASickOneIsUsed() {
+        trust(near);
+        beliefs.observe(ServerChooser.keyOf(far), Observation.FAILURE, 0);
+        chooser.use(near).reported(7, 0);
+        assertThat(chosen(RequestKind.ONCE)).hasValue(near);
+        chooser.use(near).reported(24, 0);
+        assertThat(chosen(RequestKind.ONCE)).hasValue(far);
+    }
+
+    @Test
+    void serverWithAFailedPathIsAvoidedForAWhile() {
+        trust(near);
+        chooser.use(near).pathFailed(0);
+        assertThat(chosen(RequestKind.ONCE)).hasValue(far);
+        assertThat(chooser.use(near).isPathAvoided(2 * SECOND)).isFalse();
+    }
+
+    @Test
+    void excludedServersAreNotChosen() {
+        assertThat(chooser.choose(List.of(near, far), RequestKind.ONCE, true, Set.of("near", "far"), 0))
+                .isEmpty();
+    }
+
+    private void trust(BackendServer server) {
+        for (int i = 0; i < 10; i++) {
+            beliefs.observe(ServerChooser.keyOf(server), Observation.SUCCESS, 0);
+        }
+    }
+
+    private Optional<BackendServer> chosen(RequestKind kind) {
+        return chooser.choose(List.of(far, near), kind, !kind.isRepeatable(), Set.of(), 0);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MembershipTest.java
@@ -0,0 +1,97 @@
+package io.coppershelf.mesh;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+final class MembershipTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    /** Half of the time between the start of the VMs and the first callers. */
+    private static final long JOINED = 6 * SECOND;
+
+    private static final long ROUND = 400 * TimeUnit.MILLISECONDS.toNanos(1);
+
+    @Test
+    void vmsThatKnowOnlyTheSeedsFindEachOtherWithinSeconds() {
+        List<Membership> fleet = fleet(36, 3);
+        long now = run(fleet, fleet, 0, JOINED);
+        for (Membership vm : fleet) {
+            assertThat(vm.live(now)).hasSize(35);
+        }
+    }
+
+    @Test
+    void silentVmsCountAsGoneAndTheOthersStay() {
+        List<Membership> fleet = fleet(36, 3);
+        long now = run(fleet, fleet, 0, JOINED);
+        List<Membership> rest = fleet.subList(0, 20);
+        now = run(fleet, rest, now, now + 15 * SECOND);
+        for (Membership vm : rest) {
+            assertThat(vm.live(now)).hasSize(19);
+        }
+    }
+
+    @Test
+    void fleetSizeShrinksOnlyLongAfterVmsAreGone() {
+        List<Membership> fleet = fleet(10, 3);
+        long now = run(fleet, fleet, 0, JOINED);
+        run(fleet, fleet.subList(0, 5), now, now + 10 * SECOND);
+        assertThat(fleet.get(0).fleetSize()).isEqualTo(10);
+    }
+
+    @Test
+    void allVmsAgreeOnTheirOrder() {
+        List<Membership> fleet = fleet(12, 3);
+        long now = run(fleet, fleet, 0, JOINED);
+        List<Integer> ranks = fleet.stream().map(vm -> vm.rank(now)).sorted().toList();
+        assertThat(ranks).isEqualTo(IntStream.range(0, 12).boxed().toList());
+    }
+
+    @Test
+    void restartedVmReplacesItsFormerIncarnation() {
+        Membership vm = new Membership(address(1), 1, List.of(), new Random(1), 0);
+        vm.heard(List.of(new MemberEntry(address(2), 5, 100, false)), 0);
+        assertThat(vm.heard(List.of(new MemberEntry(address(2), 6, 1, false)), 20 * SECOND))
+                .isTrue();
+        assertThat(vm.live(20 * SECOND)).containsExactly(address(2));
+    }
+
+    /** Exchanges messages among the running VMs until the given time; to the others they are lost. */
+    private static long run(List<Membership> fleet, List<Membership> running, long startNanos, long endNanos) {
+        long now = startNanos;
+        for (; now < endNanos; now += ROUND) {
+            for (Membership vm : running) {
+                long time = now;
+                vm.nextReceiver(now).ifPresent(receiver -> {
+                    Membership target = fleet.get(receiver.getPort() - 1);
+                    if (running.contains(target)) {
+                        boolean hasNew = target.heard(vm.nextEntries(false, time), time);
+                        vm.heard(target.nextEntries(hasNew, time), time);
+                    }
+                });
+            }
+        }
+        return now;
+    }
+
+    private static List<Membership> fleet(int size, int seedCount) {
+        List<InetSocketAddress> seeds = IntStream.rangeClosed(1, seedCount)
+                .mapToObj(MembershipTest::address)
+                .toList();
+        List<Membership> fleet = new ArrayList<>();
+        for (int i = 1; i <= size; i++) {
+            fleet.add(new Membership(address(i), 1, seeds, new Random(i), 0));
+        }
+        return fleet;
+    }
+
+    private static InetSocketAddress address(int number) {
+        return new InetSocketAddress("127.0.0.1", number);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
@@ -0,0 +1,44 @@
+package io.coppershelf.mesh;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.coppershelf.belief.Observation;
+import io.coppershelf.testing.Catalogs;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+final class MeshCodecTest {
+    @Test
+    void everyMessageIsReadAsItWasWritten() throws IOException {
+        List<MeshMessage> messages = List.of(
+                new MeshMessage.Members(
+                        List.of(new MemberEntry(new InetSocketAddress("127.0.0.1", 7), 3, 4, true)), true),
+                new MeshMessage.Evidence("i-1@5", Observation.STALL),
+                new MeshMessage.CatalogNews(1, 2, 3, 40, List.of(Catalogs.server("a", "here")), List.of("b")));
+        for (MeshMessage message : messages) {
+            assertThat(MeshCodec.decode(MeshCodec.encode(message))).isEqualTo(message);
+        }
+    }
+
+    @Test
+    void truncatedMessagesAreRefused() {
+        byte[] whole = MeshCodec.encode(
+                new MeshMessage.CatalogNews(1, 2, 3, 40, List.of(Catalogs.server("a", "here")), List.of("b")));
+        for (int length = 0; length < whole.length; length++) {
+            byte[] part = Arrays.copyOf(whole, length);
+            assertThrows(IOException.class, () -> MeshCodec.decode(part));
+        }
+    }
+
+    @Test
+    void otherVersionsAreRefused() {
+        byte[] bytes = MeshCodec.encode(new MeshMessage.Evidence("i-1@5", Observation.STALL));
+        bytes[0] = 9;
+        IOException refused = assertThrows(IOException.class, () -> MeshCodec.decode(bytes));
+        assertThat(refused).hasMessageThat().contains("version");
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/ReadingScheduleTest.java
@@ -0,0 +1,55 @@
+package io.coppershelf.mesh;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Pattern: every VM needs changes within two seconds, but calls to the platform are few and dear. */
+final class ReadingScheduleTest {
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long OLD = TimeUnit.MINUTES.toNanos(1);
+
+    private final ReadingSchedule schedule = new ReadingSchedule(new Random(1));
+
+    @Test
+    void newVmReadsAtOnce() {
+        assertThat(schedule.isDue(5, 0, 0)).isTrue();
+    }
+
+    @Test
+    void firstVmReadsBeforeTheOthers() {
+        schedule.confirmed(0);
+        assertThat(schedule.isDue(0, OLD, 400 * MILLI)).isTrue();
+        assertThat(schedule.isDue(1, OLD, 400 * MILLI)).isFalse();
+        assertThat(schedule.isDue(2, OLD, 800 * MILLI)).isFalse();
+    }
+
+    @Test
+    void vmThatHearsNothingReadsInTimeForTheBound() {
+        schedule.confirmed(0);
+        assertThat(schedule.isDue(30, OLD, 1400 * MILLI)).isTrue();
+    }
+
+    @Test
+    void newsOfAPeerPutsTheReadingOff() {
+        schedule.confirmed(0);
+        schedule.confirmed(300 * MILLI);
+        assertThat(schedule.isDue(0, OLD, 500 * MILLI)).isFalse();
+    }
+
+    @Test
+    void failedReadingsAreSpacedOut() {
+        long now = 0;
+        int readings = 0;
+        for (; now < 60_000 * MILLI; now += 50 * MILLI) {
+            if (schedule.isDue(0, OLD, now)) {
+                readings++;
+                schedule.failed(now);
+            }
+        }
+        assertThat(readings).isAtMost(70);
+        assertThat(readings).isAtLeast(20);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/testing/Catalogs.java
@@ -0,0 +1,29 @@
+package io.coppershelf.testing;
+
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.RequestKind;
+import io.coppershelf.catalog.Route;
+import io.coppershelf.catalog.RoutePart;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+
+/** Servers and routes for tests. */
+public final class Catalogs {
+    private Catalogs() {}
+
+    /** Returns a server with six slots that takes requests. */
+    public static BackendServer server(String id, String dataCentre) {
+        return new BackendServer(id, 1, "ledger", new InetSocketAddress("127.0.0.1", 1), dataCentre, 6, true, 0);
+    }
+
+    /** Returns a route to one service, for two servers at most. */
+    public static Route route(RequestKind kind) {
+        return route(kind, List.of(new RoutePart("ledger", 1)));
+    }
+
+    /** Returns a route to the parts. */
+    public static Route route(RequestKind kind, List<RoutePart> parts) {
+        return new Route("r", "host", "/a/", kind, Duration.ofSeconds(5), Duration.ofSeconds(2), 1, 2, parts);
+    }
+}
