Tell all VMs of the requests under way at each server

Ruled out: sickness of servers (few failures), processor time of the VMs (3% of a core).

Change: a VM tells its requests at servers within 5 ms of a begin, with counts that repeat and expire; the choice adds up all VMs' counts.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -41,6 +41,7 @@
 
     private final String dataCentre;
     private final BeliefTable beliefs;
+    private final FleetLoad fleetLoad;
     private final Random random;
     private final Map<String, ServerUse> uses = new HashMap<>();
 
@@ -49,10 +50,12 @@
      *
      * @param dataCentre the data centre of this VM
      * @param beliefs what the fleet believes of servers
+     * @param fleetLoad the requests of other VMs
      */
-    public ServerChooser(String dataCentre, BeliefTable beliefs, Random random) {
+    public ServerChooser(String dataCentre, BeliefTable beliefs, FleetLoad fleetLoad, Random random) {
         this.dataCentre = dataCentre;
         this.beliefs = beliefs;
+        this.fleetLoad = fleetLoad;
         this.random = random;
     }
 
@@ -63,7 +66,7 @@
 
     /** Returns what is known of the use of a server. */
     public ServerUse use(BackendServer server) {
-        return uses.computeIfAbsent(keyOf(server), key -> new ServerUse());
+        return uses.computeIfAbsent(keyOf(server), ServerUse::new);
     }
 
     /**
@@ -95,11 +98,9 @@
         String key = keyOf(server);
         double failure = SICK_FAILURE_SHARE * beliefs.belief(key, nowNanos).sicknessAt(nowNanos);
         double loss = failure * (isLastChance ? LAST_FAILURE_LOSS : REPEATABLE_FAILURE_LOSS);
-        ServerUse use = uses.get(key);
-        if (use != null) {
-            loss += loadLoss(use.busy(nowNanos), server.slots());
-            loss += use.isPathAvoided(nowNanos) ? BROKEN_PATH_LOSS : 0;
-        }
+        ServerUse use = use(server);
+        loss += loadLoss(use.busy(fleetLoad.inFlightOfOthers(use.code()), nowNanos), server.slots());
+        loss += use.isPathAvoided(nowNanos) ? BROKEN_PATH_LOSS : 0;
         if (!server.dataCentre().equals(dataCentre)) {
             loss += kind == RequestKind.LARGE_ANSWER ? REMOTE_LARGE_LOSS : REMOTE_LOSS;
         }
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerUse.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerUse.java
@@ -5,12 +5,13 @@
 /** What this VM knows of the load of one server and of the path to it. Not safe for several threads. */
 public final class ServerUse {
     /** How long a reported load is of any worth; requests last some hundred milliseconds. */
-    private static final double REPORT_LIFE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final double REPORT_LIFE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** First time for which a server is avoided after a failed connection attempt. */
     private static final long SHORTEST_AVOIDANCE_NANOS = TimeUnit.SECONDS.toNanos(1);
     /** Longest such time; it doubles with each failure in a row. */
     private static final long LONGEST_AVOIDANCE_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+    private final long code;
     private int inFlight;
     private int reportedBusy;
     private long reportedAtNanos;
@@ -18,6 +19,15 @@
     private long avoidUntilNanos;
     private int failuresInRow;
 
+    ServerUse(String serverKey) {
+        code = FleetLoad.codeOf(serverKey);
+    }
+
+    /** Returns the number that stands for the server in messages. */
+    public long code() {
+        return code;
+    }
+
     /** Counts a request that goes to the server. */
     public void begin() {
         inFlight++;
@@ -58,12 +68,17 @@
         return failuresInRow > 0 && nowNanos - avoidUntilNanos < 0;
     }
 
-    /** Returns an estimate of the requests that the server has, by its own report and by what this VM sent. */
-    public double busy(long nowNanos) {
+    /**
+     * Returns an estimate of the requests that the server has, by its own report and by what the VMs sent.
+     *
+     * @param inFlightOfOthers the requests of other VMs
+     */
+    public double busy(int inFlightOfOthers, long nowNanos) {
+        int sent = inFlight + inFlightOfOthers;
         if (!hasReport) {
-            return inFlight;
+            return sent;
         }
         double freshness = Math.exp(-(nowNanos - reportedAtNanos) / REPORT_LIFE_NANOS);
-        return Math.max(inFlight, reportedBusy * freshness);
+        return Math.max(sent, reportedBusy * freshness);
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import io.coppershelf.belief.BeliefTable;
 import io.coppershelf.catalog.CatalogReader;
+import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.RetryBudget;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
@@ -56,14 +57,23 @@
         EventLoop trafficLoop = newLoop("traffic");
         Random random = new Random();
         BeliefTable beliefs = new BeliefTable();
+        FleetLoad fleetLoad = new FleetLoad();
         Membership membership = new Membership(
                 settings.meshAddress(), System.currentTimeMillis(), settings.seeds(), random, System.nanoTime());
-        FleetState state = new FleetState(control, readers.apply(control), beliefs, membership, random, log);
+        FleetState state = new FleetState(control, readers.apply(control), beliefs, fleetLoad, membership, random, log);
         PrometheusRegistry registry = new PrometheusRegistry();
         RetryBudget budget =
                 new RetryBudget(settings.retryRatio(), settings.retriesPerWindow(), settings.retryWindow());
         TrafficServer traffic = new TrafficServer(
-                trafficLoop, settings.headers(), state, beliefs, budget, settings.dataCentre(), registry, log);
+                trafficLoop,
+                settings.headers(),
+                state,
+                beliefs,
+                fleetLoad,
+                budget,
+                settings.dataCentre(),
+                registry,
+                log);
         state.start(settings.meshAddress());
         traffic.listen(settings.callerAddress());
         PageServer.listen(
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -8,6 +8,7 @@
 import io.coppershelf.catalog.CatalogReader;
 import io.coppershelf.catalog.FleetConfiguration;
 import io.coppershelf.catalog.ServerList;
+import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
@@ -38,6 +39,8 @@
     private final EventLoop loop;
     private final CatalogReader reader;
     private final BeliefTable beliefs;
+    private final FleetLoad fleetLoad;
+    private final LoadReport loadReport = new LoadReport();
     private final Membership membership;
     private final ReadingSchedule schedule;
     private final EventLog log;
@@ -57,12 +60,14 @@
             EventLoop loop,
             CatalogReader reader,
             BeliefTable beliefs,
+            FleetLoad fleetLoad,
             Membership membership,
             Random random,
             EventLog log) {
         this.loop = loop;
         this.reader = reader;
         this.beliefs = beliefs;
+        this.fleetLoad = fleetLoad;
         this.membership = membership;
         schedule = new ReadingSchedule(random);
         this.log = log;
@@ -116,9 +121,26 @@
         });
     }
 
+    @Override
+    public void loadChanged(long serverCode, int inFlight, boolean isBegin) {
+        loop.execute(() -> {
+            long now = now();
+            long dueNanos = loadReport.changed(serverCode, inFlight, isBegin, now);
+            if (isBegin) {
+                loop.schedule(this::tellLoad, Math.max(0, dueNanos - now), TimeUnit.NANOSECONDS);
+            }
+        });
+    }
+
+    private void tellLoad() {
+        loadReport.due(now()).ifPresent(load -> socket.ifPresent(open -> open.send(membership.live(now()), load)));
+    }
+
     private void tick() {
         long now = now();
         ticks++;
+        tellLoad();
+        fleetLoad.expire(now);
         if (ticks % TICKS_PER_MEMBERS == 1) {
             membership.nextReceiver(now).ifPresent(receiver -> send(receiver, members(true)));
             fleetSize = membership.fleetSize();
@@ -149,11 +171,20 @@
             boolean wasSuspect = beliefs.belief(evidence.serverKey(), now()).isSuspect(now());
             beliefs.observe(evidence.serverKey(), evidence.observation(), now());
             logBelief(evidence.serverKey(), wasSuspect, sender.toString(), evidence.observation());
+        } else if (message instanceof MeshMessage.Load load) {
+            takeLoad(sender, load);
         } else if (message instanceof MeshMessage.CatalogNews news) {
             takeNews(news);
         }
     }
 
+    private void takeLoad(InetSocketAddress sender, MeshMessage.Load load) {
+        int size = Math.min(load.serverCodes().size(), load.inFlight().size());
+        for (int i = 0; i < size; i++) {
+            fleetLoad.heard(sender, load.serverCodes().get(i), load.inFlight().get(i), now());
+        }
+    }
+
     private void takeNews(MeshMessage.CatalogNews news) {
         wantConfiguration(news.configurationRevision());
         long known = catalog.servers().revision();
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -18,6 +18,7 @@
     private static final int MEMBERS = 1;
     private static final int EVIDENCE = 2;
     private static final int CATALOG_NEWS = 3;
+    private static final int LOAD = 4;
 
     private MeshCodec() {}
 
@@ -56,6 +57,10 @@
                             unpacker.unpackInt(),
                             MessageFields.readList(unpacker, MeshCodec::readServer),
                             MessageFields.readList(unpacker, MessageUnpacker::unpackString));
+                case LOAD ->
+                    new MeshMessage.Load(
+                            MessageFields.readList(unpacker, MessageUnpacker::unpackLong),
+                            MessageFields.readList(unpacker, MessageUnpacker::unpackInt));
                 default -> throw new IOException("unknown message type " + type);
             };
         } catch (RuntimeException e) {
@@ -72,6 +77,10 @@
             packer.packInt(EVIDENCE);
             packer.packString(evidence.serverKey());
             packer.packInt(evidence.observation().code());
+        } else if (message instanceof MeshMessage.Load load) {
+            packer.packInt(LOAD);
+            MessageFields.writeList(packer, load.serverCodes(), MessagePacker::packLong);
+            MessageFields.writeList(packer, load.inFlight(), MessagePacker::packInt);
         } else if (message instanceof MeshMessage.CatalogNews news) {
             packer.packInt(CATALOG_NEWS);
             packer.packLong(news.since());
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -21,6 +21,14 @@
      */
     record Evidence(String serverKey, Observation observation) implements MeshMessage {}
 
+    /**
+     * The requests that the sender has at servers.
+     *
+     * @param serverCodes numbers that stand for the servers
+     * @param inFlight the requests at each of them
+     */
+    record Load(List<Long> serverCodes, List<Integer> inFlight) implements MeshMessage {}
+
     /**
      * What the sender read from the platform.
      *
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
@@ -59,6 +59,7 @@
         this.listener = listener;
         use = context.chooser().use(server);
         use.begin();
+        context.state().loadChanged(use.code(), use.inFlight(), true);
     }
 
     BackendServer server() {
@@ -110,6 +111,7 @@
         }
         isEnded = true;
         use.end();
+        context.state().loadChanged(use.code(), use.inFlight(), false);
         link.ifPresent(HttpLink::close);
         context.metrics().attempt("cancelled");
     }
@@ -196,6 +198,7 @@
     private void end(End end, String detail) {
         isEnded = true;
         use.end();
+        context.state().loadChanged(use.code(), use.inFlight(), false);
         context.metrics().attempt(end.name().toLowerCase(Locale.ROOT));
         listener.ended(number, end, detail);
     }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -4,6 +4,7 @@
 import io.coppershelf.catalog.CallerLimits;
 import io.coppershelf.catalog.Catalog;
 import io.coppershelf.catalog.FleetConfiguration;
+import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.RetryBudget;
 import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.dispatch.WeightedSplit;
@@ -49,6 +50,7 @@
             HeaderNames names,
             TrafficState state,
             BeliefTable beliefs,
+            FleetLoad fleetLoad,
             RetryBudget budget,
             String dataCentre,
             PrometheusRegistry registry,
@@ -59,7 +61,7 @@
                 loop,
                 names,
                 state,
-                new ServerChooser(dataCentre, beliefs, random),
+                new ServerChooser(dataCentre, beliefs, fleetLoad, random),
                 budget,
                 new WeightedSplit(random),
                 new ServerPool(new HttpConnector(loop, CONNECT_TIMEOUT)),
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficState.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficState.java
@@ -15,6 +15,14 @@
     /** Returns whether the VM is leaving and asks callers to use another one. */
     boolean isStopping();
 
+    /**
+     * Takes the number of requests that this VM has at a server, after it has changed.
+     *
+     * @param serverCode the number that stands for the server in messages
+     * @param isBegin whether a request has begun; else one has ended
+     */
+    void loadChanged(long serverCode, int inFlight, boolean isBegin);
+
     /** Takes the outcome of a request at a server. */
     void observed(BackendServer server, Observation observation);
 }
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/FleetLoadTest.java
@@ -0,0 +1,34 @@
+package io.coppershelf.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Pattern: many VMs with few requests each share servers with few slots. */
+final class FleetLoadTest {
+    private static final long SERVER = FleetLoad.codeOf("i-1@5");
+
+    private final FleetLoad load = new FleetLoad();
+
+    @Test
+    void countsOfAllVmsAddUp() {
+        load.heard("vm-1", SERVER, 2, 0);
+        load.heard("vm-2", SERVER, 1, 0);
+        assertThat(load.inFlightOfOthers(SERVER)).isEqualTo(3);
+    }
+
+    @Test
+    void laterCountReplacesTheEarlierOne() {
+        load.heard("vm-1", SERVER, 2, 0);
+        load.heard("vm-1", SERVER, 0, 1);
+        assertThat(load.inFlightOfOthers(SERVER)).isEqualTo(0);
+    }
+
+    @Test
+    void countsOfAVmThatFellSilentAreForgotten() {
+        load.heard("vm-1", SERVER, 2, 0);
+        load.heard("vm-2", SERVER, 1, FleetLoad.EXPIRY_NANOS);
+        load.expire(FleetLoad.EXPIRY_NANOS + 1);
+        assertThat(load.inFlightOfOthers(SERVER)).isEqualTo(1);
+    }
+}
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
@@ -18,7 +18,8 @@
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private final BeliefTable beliefs = new BeliefTable();
-    private final ServerChooser chooser = new ServerChooser("here", beliefs, new Random(7));
+    private final FleetLoad fleetLoad = new FleetLoad();
+    private final ServerChooser chooser = new ServerChooser("here", beliefs, fleetLoad, new Random(7));
     private final BackendServer near = Catalogs.server("near", "here");
     private final BackendServer far = Catalogs.server("far", "there");
 
@@ -53,6 +54,16 @@
         assertThat(chosen(RequestKind.ONCE)).hasValue(far);
     }
 
+    @Test
+    void requestsOfOtherVmsCountAsLoad() {
+        trust(near);
+        trust(far);
+        for (int vm = 0; vm < 6; vm++) {
+            fleetLoad.heard(vm, chooser.use(near).code(), 1, 0);
+        }
+        assertThat(chosen(RequestKind.ONCE)).hasValue(far);
+    }
+
     @Test
     void serverWithAFailedPathIsAvoidedForAWhile() {
         trust(near);
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/LoadReportTest.java
@@ -0,0 +1,47 @@
+package io.coppershelf.mesh;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+final class LoadReportTest {
+    private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+    private static final long START = 5000 * MILLI;
+
+    private final LoadReport report = new LoadReport();
+
+    LoadReportTest() {
+        report.due(START);
+    }
+
+    @Test
+    void beginIsToldWithinMilliseconds() {
+        report.changed(7, 1, true, START);
+        assertThat(report.due(START)).isEmpty();
+        assertThat(report.due(START + 5 * MILLI)).hasValue(new MeshMessage.Load(List.of(7L), List.of(1)));
+    }
+
+    @Test
+    void endIsToldWithTheNextBegin() {
+        report.changed(7, 0, false, START);
+        report.changed(8, 1, true, START + MILLI);
+        MeshMessage.Load load = report.due(START + 6 * MILLI).orElseThrow();
+        assertThat(load.serverCodes()).containsExactly(7L, 8L);
+    }
+
+    @Test
+    void endAloneIsToldALittleLater() {
+        report.changed(7, 0, false, START);
+        assertThat(report.due(START + 50 * MILLI)).isEmpty();
+        assertThat(report.due(START + 100 * MILLI)).isPresent();
+    }
+
+    @Test
+    void runningRequestsAreToldAgainEverySecond() {
+        report.changed(7, 1, true, START);
+        report.due(START + 5 * MILLI);
+        assertThat(report.due(START + 1000 * MILLI)).hasValue(new MeshMessage.Load(List.of(7L), List.of(1)));
+    }
+}
--- a/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
@@ -18,6 +18,7 @@
                 new MeshMessage.Members(
                         List.of(new MemberEntry(new InetSocketAddress("127.0.0.1", 7), 3, 4, true)), true),
                 new MeshMessage.Evidence("i-1@5", Observation.STALL),
+                new MeshMessage.Load(List.of(-4L, 7L), List.of(0, 3)),
                 new MeshMessage.CatalogNews(1, 2, 3, 40, List.of(Catalogs.server("a", "here")), List.of("b")));
         for (MeshMessage message : messages) {
             assertThat(MeshCodec.decode(MeshCodec.encode(message))).isEqualTo(message);
