--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -57,6 +57,7 @@
     private boolean isBusy;
     private boolean isClosing;
     private Optional<ScheduledFuture<?>> idleTimer = Optional.empty();
+    private Optional<ScheduledFuture<?>> headTimer = Optional.empty();
     private Channel channel;
 
     CallerConnection(TrafficContext context, CallerLimits limits) {
@@ -100,13 +101,32 @@
                 return;
             }
             body.writeBytes(content.content());
+            startIdleTimer();
             if (message instanceof LastHttpContent) {
                 complete();
             }
         }
     }
 
+    /** Bytes of the caller have arrived; if they begin a request, its head has to be complete in time. */
+    void bytesArrived() {
+        if (isBusy || head.isPresent() || headTimer.isPresent() || isClosing) {
+            return;
+        }
+        headTimer = Optional.of(context.loop()
+                .schedule(
+                        () -> refuse(ErrorKind.SLOW_REQUEST, "the head took too long"),
+                        limits.headTimeout().toMillis(),
+                        TimeUnit.MILLISECONDS));
+    }
+
+    private void cancelHeadTimer() {
+        headTimer.ifPresent(scheduled -> scheduled.cancel(false));
+        headTimer = Optional.empty();
+    }
+
     private void begin(HttpRequest request) {
+        cancelHeadTimer();
         idleTimer.ifPresent(scheduled -> scheduled.cancel(false));
         head = Optional.of(request);
         headAtNanos = System.nanoTime();
@@ -162,7 +182,7 @@
     private void startIdleTimer() {
         idleTimer.ifPresent(scheduled -> scheduled.cancel(false));
         idleTimer = Optional.of(
-                context.loop().schedule(this::closeIfIdle, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS));
+                context.loop().schedule(this::idleTooLong, limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS));
     }
 
     /** Closes the connection unless a request is under way. */
@@ -172,8 +192,19 @@
         }
     }
 
+    private void idleTooLong() {
+        if (head.isPresent()) {
+            refuse(ErrorKind.SLOW_REQUEST, "the body took too long");
+        } else {
+            closeIfIdle();
+        }
+    }
+
     /** Answers a request that can't be read to its end, and closes the connection. */
     private void refuse(ErrorKind kind, String reason) {
+        if (isClosing) {
+            return;
+        }
         isClosing = true;
         head = Optional.empty();
         if (isBusy) {
@@ -193,6 +224,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext handlerContext) {
         isClosing = true;
+        cancelHeadTimer();
         idleTimer.ifPresent(scheduled -> scheduled.cancel(false));
         run.ifPresent(RequestRun::callerLeft);
         run = Optional.empty();
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -13,6 +13,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -102,6 +104,21 @@
         context.chooser().retain(catalog.servers());
     }
 
+    /** Tells the connection that bytes have arrived, before they are decoded. */
+    private static final class ByteNotice extends ChannelInboundHandlerAdapter {
+        private final CallerConnection connection;
+
+        ByteNotice(CallerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext handlerContext, Object message) {
+            connection.bytesArrived();
+            handlerContext.fireChannelRead(message);
+        }
+    }
+
     /** Equips the connection of a caller. */
     private final class CallerInitializer extends ChannelInitializer<Channel> {
         @Override
@@ -112,9 +129,11 @@
                     .map(FleetConfiguration::limits)
                     .orElse(CallerLimits.DEFAULT);
             callers.add(channel);
+            CallerConnection connection = new CallerConnection(context, limits);
             channel.pipeline()
+                    .addLast(new ByteNotice(connection))
                     .addLast(new HttpServerCodec(limits.headBytes(), limits.headBytes(), MAX_CHUNK_BYTES))
-                    .addLast(new CallerConnection(context, limits));
+                    .addLast(connection);
         }
     }
 }
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/FakeTrafficState.java
@@ -0,0 +1,51 @@
+package io.coppershelf.proxy;
+
+import io.coppershelf.belief.Observation;
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.Catalog;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** The control state of a VM that a test sets. */
+final class FakeTrafficState implements TrafficState {
+    private volatile Catalog catalog = Catalog.EMPTY;
+    private volatile boolean isStopping;
+    private final List<Observation> observations = new CopyOnWriteArrayList<>();
+
+    void use(Catalog newCatalog) {
+        catalog = newCatalog;
+    }
+
+    void stop() {
+        isStopping = true;
+    }
+
+    List<Observation> observations() {
+        return observations;
+    }
+
+    @Override
+    public Catalog catalog() {
+        return catalog;
+    }
+
+    @Override
+    public int fleetSize() {
+        return 1;
+    }
+
+    @Override
+    public boolean isStopping() {
+        return isStopping;
+    }
+
+    @Override
+    public void loadChanged(long serverCode, int inFlight, boolean isBegin) {
+        // Tests of this package have one VM.
+    }
+
+    @Override
+    public void observed(BackendServer server, Observation observation) {
+        observations.add(observation);
+    }
+}
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -0,0 +1,134 @@
+package io.coppershelf.proxy;
+
+import io.coppershelf.belief.BeliefTable;
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.CallerLimits;
+import io.coppershelf.catalog.Catalog;
+import io.coppershelf.catalog.FleetConfiguration;
+import io.coppershelf.catalog.RequestKind;
+import io.coppershelf.catalog.Route;
+import io.coppershelf.catalog.RoutePart;
+import io.coppershelf.catalog.RouteTable;
+import io.coppershelf.catalog.ServerList;
+import io.coppershelf.dispatch.FleetLoad;
+import io.coppershelf.dispatch.RetryBudget;
+import io.coppershelf.eventlog.EventLog;
+import io.coppershelf.testing.FakeBackendServer;
+import io.coppershelf.testing.RawCaller;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** A traffic path on the loopback interface with routes of each kind to one service. */
+final class ProxyFixture implements AutoCloseable {
+    static final HeaderNames NAMES =
+            new HeaderNames("Request-Id", "Deadline", "Target", "Signature", "Not-Run", "Load");
+
+    private static final int LARGEST_HEAD_BYTES = 2000;
+    private static final int LARGEST_BODY_BYTES = 5000;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final FakeTrafficState state = new FakeTrafficState();
+    private final InetSocketAddress address;
+
+    ProxyFixture() throws IOException {
+        address = new InetSocketAddress("127.0.0.1", freePort());
+        TrafficServer server = new TrafficServer(
+                group.next(),
+                NAMES,
+                state,
+                new BeliefTable(),
+                new FleetLoad(),
+                new RetryBudget(0.2, 58, Duration.ofSeconds(10)),
+                "here",
+                new PrometheusRegistry(),
+                EventLog.NONE);
+        server.listen(address);
+    }
+
+    /** Routes all requests to the servers. */
+    void serve(FakeBackendServer... servers) {
+        List<BackendServer> list = new ArrayList<>();
+        for (FakeBackendServer server : servers) {
+            list.add(new BackendServer(
+                    "i-" + list.size(),
+                    1,
+                    "ledger",
+                    new InetSocketAddress("127.0.0.1", server.port()),
+                    "here",
+                    6,
+                    true,
+                    0));
+        }
+        RouteTable routes = RouteTable.of(List.of(
+                route("/once/", RequestKind.ONCE),
+                route("/safe/", RequestKind.REPEATABLE),
+                route("/large/", RequestKind.LARGE_ANSWER)));
+        CallerLimits limits = new CallerLimits(
+                LARGEST_HEAD_BYTES, LARGEST_BODY_BYTES, Duration.ofMillis(500), Duration.ofMillis(700));
+        FleetConfiguration configuration = new FleetConfiguration(1, 1, routes, Map.of("ledger", 100), limits);
+        state.use(new Catalog(Optional.of(configuration), ServerList.of(1, list)));
+    }
+
+    FakeTrafficState state() {
+        return state;
+    }
+
+    RawCaller connect() throws IOException {
+        return RawCaller.connect(address);
+    }
+
+    /** Sends a request without a body and returns the answer. */
+    RawCaller.Reply call(String method, String path) throws IOException {
+        return RawCaller.exchange(address, request(method, path, 3000));
+    }
+
+    static String request(String method, String path, int deadlineMillis) {
+        return method + " " + path + " HTTP/1.1\nHost: host\nRequest-Id: r1\nDeadline: " + deadlineMillis + "\n\n";
+    }
+
+    /** Returns a whole answer of a server to the request. */
+    static byte[] answer(FakeBackendServer.Received request, int status, String body, String... headerLines) {
+        return request.rawAnswer(
+                status,
+                body,
+                "Request-Id: " + request.headers().get("request-id"),
+                "Signature: s",
+                "Content-Length: " + body.length(),
+                String.join("\r\n", headerLines));
+    }
+
+    private static Route route(String prefix, RequestKind kind) {
+        return new Route(
+                prefix,
+                "host",
+                prefix,
+                kind,
+                Duration.ofMillis(2500),
+                Duration.ofMillis(1000),
+                1,
+                2,
+                List.of(new RoutePart("ledger", 1)));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
