--- a/coppershelf/src/main/java/io/coppershelf/cli/CommandLine.java
+++ b/coppershelf/src/main/java/io/coppershelf/cli/CommandLine.java
@@ -61,6 +61,7 @@
                         StatusCommand.class,
                         TicketsCommand.class,
                         TimelineCommand.class,
+                        ExplainCommand.class,
                         HelpCommand.class));
         builder.withGroup("settings").withDescription("settings of a daemon").withCommand(SettingsCheckCommand.class);
         builder.withGroup("ticket").withDescription("change tickets").withCommand(TicketCheckCommand.class);
--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Random;
@@ -77,13 +78,12 @@
         state.start(settings.meshAddress());
         traffic.listen(settings.callerAddress());
         PageServer.listen(
-                control,
-                settings.readinessAddress(),
-                settings.readinessPath(),
-                () -> new PageServer.Page(state.isReady(), state.isReady() ? "ready\n" : "not ready\n"));
-        settings.metricsAddress()
-                .ifPresent(address -> PageServer.listen(
-                        control, address, "/metrics", () -> new PageServer.Page(true, metrics(registry))));
+                        control,
+                        settings.readinessAddress(),
+                        settings.readinessPath(),
+                        () -> new PageServer.Page(state.isReady(), state.isReady() ? "ready\n" : "not ready\n"))
+                .syncUninterruptibly();
+        settings.metricsAddress().ifPresent(address -> serveMetrics(control, address, registry, log));
         log.important("started", Fields.of("callers", settings.callerAddress(), "mesh", settings.meshAddress()));
         return new Gateway(settings, state, traffic, log);
     }
@@ -106,6 +106,17 @@
         log.important("stopped", Fields.of("underWay", traffic.requestsUnderWay()));
     }
 
+    /** A VM whose metrics can't be served still serves callers. */
+    private static void serveMetrics(
+            EventLoop control, InetSocketAddress address, PrometheusRegistry registry, EventLog log) {
+        PageServer.listen(control, address, "/metrics", () -> new PageServer.Page(true, metrics(registry)))
+                .addListener(bound -> {
+                    if (!bound.isSuccess()) {
+                        log.important("metrics-not-served", Fields.of("address", address, "reason", bound.cause()));
+                    }
+                });
+    }
+
     private static EventLoop newLoop(String name) {
         return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(name, true), NioIoHandler.newFactory())
                 .next();
--- a/coppershelf/src/main/java/io/coppershelf/gateway/PageServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/PageServer.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -32,9 +33,9 @@
     /** A page: whether all is well, and its text. */
     record Page(boolean isOk, String text) {}
 
-    /** Listens; the page is made anew for each request. */
-    static void listen(EventLoop loop, InetSocketAddress address, String path, Supplier<Page> page) {
-        new ServerBootstrap()
+    /** Begins to listen; the page is made anew for each request. */
+    static ChannelFuture listen(EventLoop loop, InetSocketAddress address, String path, Supplier<Page> page) {
+        return new ServerBootstrap()
                 .group(loop, loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -45,8 +46,7 @@
                         channel.pipeline().addLast(new HttpServerCodec()).addLast(new Handler(path, page));
                     }
                 })
-                .bind(address)
-                .syncUninterruptibly();
+                .bind(address);
     }
 
     private static final class Handler extends SimpleChannelInboundHandler<HttpObject> {
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -52,7 +52,7 @@
     private long wantedConfiguration;
     private long ticks;
     private volatile Catalog catalog = Catalog.EMPTY;
-    private volatile int fleetSize = 1;
+    private volatile int fleetSize = Membership.ASSUMED_FLEET;
     private volatile boolean isStopping;
 
     /** Creates a state that knows nothing. */
@@ -143,7 +143,7 @@
         fleetLoad.expire(now);
         if (ticks % TICKS_PER_MEMBERS == 1) {
             membership.nextReceiver(now).ifPresent(receiver -> send(receiver, members(true)));
-            fleetSize = membership.fleetSize();
+            fleetSize = membership.fleetSize(now());
         }
         if (!isReading && schedule.isDue(membership.rank(now), membership.ageNanos(now), now)) {
             read();
@@ -163,7 +163,7 @@
         membership.heardFrom(sender, now());
         if (message instanceof MeshMessage.Members members) {
             boolean hasNew = membership.heard(members.members(), now());
-            fleetSize = membership.fleetSize();
+            fleetSize = membership.fleetSize(now());
             if (hasNew || members.wantsReply()) {
                 send(sender, new MeshMessage.Members(membership.nextEntries(hasNew, now()), false));
             }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
@@ -23,6 +23,10 @@
     static final long GONE_NANOS = TimeUnit.SECONDS.toNanos(8);
     /** Time after which a VM that is gone is forgotten; its return is heard of sooner. */
     static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(30);
+    /** Time after its start in which a VM does not know the whole fleet yet. */
+    static final long JOINING_NANOS = TimeUnit.SECONDS.toNanos(5);
+    /** The fleet that a VM assumes until then; about the size of the larger deployments of today. */
+    static final int ASSUMED_FLEET = 100;
     /** Entries of other VMs in one message, so that it stays within one packet. */
     private static final int ENTRIES_PER_MESSAGE = 16;
 
@@ -105,9 +109,13 @@
                 .toList();
     }
 
-    /** Returns the number of VMs that were live of late, with this one; it falls only slowly. */
-    public int fleetSize() {
-        return members.size() + 1;
+    /**
+     * Returns the number of VMs among which shares of limits are divided: those that were live of late, with this one.
+     * A VM that has just started knows only some of them and assumes a large fleet.
+     */
+    public int fleetSize(long nowNanos) {
+        int known = members.size() + 1;
+        return nowNanos - startedNanos < JOINING_NANOS ? Math.max(known, ASSUMED_FLEET) : known;
     }
 
     /** Returns the place of this VM among the live ones, in an order that all VMs share. */
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/cli/internal/RequestStoryTest.java
@@ -0,0 +1,48 @@
+package io.coppershelf.cli.internal;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+final class RequestStoryTest {
+    private final List<LogLine> lines = Stream.of(
+                    "{\"at\":1000,\"vm\":\"vm-1\",\"event\":\"server-suspected\",\"server\":\"i-1@5\",\"sickness\":0.8}",
+                    "{\"at\":1100,\"vm\":\"vm-2\",\"event\":\"server-suspected\",\"server\":\"i-1@5\"}",
+                    "{\"at\":1200,\"vm\":\"vm-1\",\"event\":\"server-suspected\",\"server\":\"i-9@5\"}",
+                    "{\"at\":1300,\"vm\":\"vm-1\",\"event\":\"attempt-ended\",\"request\":\"r\",\"server\":\"i-1\","
+                            + "\"end\":\"LOST\",\"detail\":\"closed by the server\"}",
+                    "   3.5 vm-1 {\"at\":1301,\"vm\":\"vm-1\",\"event\":\"request-ended\",\"request\":\"r\","
+                            + "\"outcome\":\"server-lost\",\"reason\":\"the answer was lost\"}",
+                    "{\"at\":1302,\"vm\":\"vm-1\",\"event\":\"request-ended\",\"request\":\"q\"}",
+                    "not a line {",
+                    "nothing")
+            .flatMap(text -> LogLine.parse(text).stream())
+            .toList();
+
+    @Test
+    void storyHoldsTheRequestAndWhatItsVmBelievedOfItsServers() {
+        assertThat(RequestStory.of("r", lines).stream().map(LogLine::atMillis).toList())
+                .containsExactly(1000L, 1300L, 1301L)
+                .inOrder();
+    }
+
+    @Test
+    void causeNamesTheOutcomeAndTheLastAttempt() {
+        assertThat(RequestStory.cause("r", RequestStory.of("r", lines)))
+                .isEqualTo(
+                        "cause: server-lost, the answer was lost; last attempt at i-1 ended LOST (closed by the server)");
+    }
+
+    @Test
+    void unknownRequestHasNoStory() {
+        assertThat(RequestStory.of("other", lines)).isEmpty();
+    }
+
+    @Test
+    void requestWithoutAnEndIsTold() {
+        List<LogLine> cut = lines.subList(0, 4);
+        assertThat(RequestStory.cause("r", RequestStory.of("r", cut))).contains("no line tells how the request ended");
+    }
+}
--- a/coppershelf/src/test/java/io/coppershelf/mesh/MembershipTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MembershipTest.java
@@ -41,8 +41,15 @@
     void fleetSizeShrinksOnlyLongAfterVmsAreGone() {
         List<Membership> fleet = fleet(10, 3);
         long now = run(fleet, fleet, 0, JOINED);
-        run(fleet, fleet.subList(0, 5), now, now + 10 * SECOND);
-        assertThat(fleet.get(0).fleetSize()).isEqualTo(10);
+        long later = run(fleet, fleet.subList(0, 5), now, now + 10 * SECOND);
+        assertThat(fleet.get(0).fleetSize(later)).isEqualTo(10);
+    }
+
+    @Test
+    void vmThatHasJustStartedAssumesALargeFleet() {
+        Membership vm = new Membership(address(1), 1, List.of(), new Random(1), 0);
+        assertThat(vm.fleetSize(SECOND)).isEqualTo(Membership.ASSUMED_FLEET);
+        assertThat(vm.fleetSize(Membership.JOINING_NANOS)).isEqualTo(1);
     }
 
     @Test
