--- a/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
@@ -184,7 +184,7 @@
     }
 
     private boolean isLastChance(int reached) {
-        return !route.kind().isRepeatable() || reached + 1 >= route.maxServers();
+        return !route.kind().isRepeatable() || reached + 1 >= route.maxServers() || !choice.mayRepeat();
     }
 
     /** Ends the request with the best answer that is true. */
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/RetryBudget.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RetryBudget.java
@@ -45,15 +45,24 @@
      * @return whether the request may be sent once more
      */
     public boolean tryRepeat(String service, int fleetSize, long nowNanos) {
-        Usage usage = usage(service, nowNanos);
-        double limit = USED_SHARE * (ratio * sum(usage.requests) + fixedPerWindow / Math.max(1, fleetSize));
-        if (sum(usage.repeats) + 1 > limit) {
+        if (!mayRepeat(service, fleetSize, nowNanos)) {
             return false;
         }
-        usage.repeats[BUCKETS - 1]++;
+        usage(service, nowNanos).repeats[BUCKETS - 1]++;
         return true;
     }
 
+    /**
+     * Returns whether a request may be sent once more, without taking the repeat.
+     *
+     * @param fleetSize the number of VMs that take requests
+     */
+    public boolean mayRepeat(String service, int fleetSize, long nowNanos) {
+        Usage usage = usage(service, nowNanos);
+        double limit = USED_SHARE * (ratio * sum(usage.requests) + fixedPerWindow / Math.max(1, fleetSize));
+        return sum(usage.repeats) + 1 <= limit;
+    }
+
     private Usage usage(String service, long nowNanos) {
         Usage usage = usages.computeIfAbsent(service, name -> new Usage(nowNanos));
         usage.slideTo(nowNanos, bucketNanos);
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -20,14 +20,14 @@
 public final class ServerChooser {
     /** Loss by a failure, as a share of the worth of a request that can't be sent again. */
     private static final double LAST_FAILURE_LOSS = 1.0;
-    /** Loss by a failure of a request that may be sent again: the delay, and a second place at a server. */
-    private static final double REPEATABLE_FAILURE_LOSS = 0.35;
+    /** Loss by a failure of a request that may be sent again: the delay, and a share of the budget for repeats. */
+    private static final double REPEATABLE_FAILURE_LOSS = 0.6;
     /** Share of the requests that a sick server fails. */
-    private static final double SICK_FAILURE_SHARE = 0.7;
+    private static final double SICK_FAILURE_SHARE = 0.8;
     /** Loss at a server whose slots are all busy but for this VM's request; it slows down when nearly full. */
     private static final double FULL_SLOTS_LOSS = 0.06;
     /** Loss for each further round of requests that wait at the server. */
-    private static final double WAITING_ROUND_LOSS = 0.3;
+    private static final double WAITING_ROUND_LOSS = 0.25;
     /** Loss at a server that is still cold. */
     private static final double COLD_LOSS = 0.04;
     /** Loss by the bytes of a small answer between data centres. */
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestRun.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestRun.java
@@ -103,6 +103,11 @@
                 .choose(catalog.servers().accepting(service), route.kind(), isLastChance, excluded, System.nanoTime());
     }
 
+    @Override
+    public boolean mayRepeat() {
+        return context.budget().mayRepeat(service, context.state().fleetSize(), System.nanoTime());
+    }
+
     @Override
     public boolean takeRepeat() {
         return context.budget().tryRepeat(service, context.state().fleetSize(), System.nanoTime());
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
@@ -125,6 +125,13 @@
         assertThat(choice.isLastChance).isTrue();
     }
 
+    @Test
+    void firstChanceOfARepeatableRequestIsTheLastOneWhenTheBudgetIsEmpty() {
+        choice.hasBudget = false;
+        started(RequestKind.REPEATABLE);
+        assertThat(choice.isLastChance).isTrue();
+    }
+
     @Test
     void answersAfterTheEndChangeNothing() {
         RequestPlan plan = started(RequestKind.REPEATABLE);
@@ -174,6 +181,11 @@
                     .findFirst();
         }
 
+        @Override
+        public boolean mayRepeat() {
+            return hasBudget;
+        }
+
         @Override
         public boolean takeRepeat() {
             return hasBudget;
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
@@ -64,6 +64,17 @@
         assertThat(chosen(RequestKind.ONCE)).hasValue(far);
     }
 
+    /** Pattern: so many servers fail that the sound ones are full; sending work to sick ones wastes the repeats. */
+    @Test
+    void repeatableRequestWaitsAtAFullServerRatherThanGoToASickOne() {
+        trust(near);
+        for (int i = 0; i < 3; i++) {
+            beliefs.observe(ServerChooser.keyOf(far), Observation.FAILURE, 0);
+        }
+        chooser.use(near).reported(12, 0);
+        assertThat(chosen(RequestKind.REPEATABLE)).hasValue(near);
+    }
+
     @Test
     void serverWithAFailedPathIsAvoidedForAWhile() {
         trust(near);
