Keep servers in use for a while that vanished together or after an outage of the platform

Cause: registrations expire while servers can't renew them; after an outage every VM would have dropped all servers of a service at once, for up to two seconds. Change: a pure rule keeps them for 2.2 s after an outage and for 1 s when a third of a service vanishes at once, less than the two seconds in which a leaving server must get no more work.

--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -7,6 +7,7 @@
 import io.coppershelf.catalog.CatalogChange;
 import io.coppershelf.catalog.CatalogReader;
 import io.coppershelf.catalog.FleetConfiguration;
+import io.coppershelf.catalog.RemovalGrace;
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.ServerChooser;
@@ -33,6 +34,10 @@
     private static final int TICKS_PER_MEMBERS = 8;
     /** How long the platform waits for a change; a reading that finds none confirms what is known. */
     private static final Duration CHANGE_WAIT = Duration.ofMillis(100);
+    /** Age of what is known from which the platform counts as away; no VM was able to read it for several tries. */
+    private static final long OUTAGE_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
+    /** How long after it removals may stem from registrations that expired meanwhile. */
+    private static final long OUTAGE_EFFECT_NANOS = TimeUnit.SECONDS.toNanos(3);
     /** Pause before a configuration that could not be read is read again. */
     private static final long CONFIGURATION_PAUSE_MILLIS = 150;
 
@@ -51,6 +56,10 @@
     private boolean needsAll = true;
     private long wantedConfiguration;
     private long ticks;
+    private final RemovalGrace grace = new RemovalGrace();
+    private ServerList registered = ServerList.EMPTY;
+    private long outageNanos;
+    private boolean hadOutage;
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile int fleetSize = Membership.ASSUMED_FLEET;
     private volatile boolean isStopping;
@@ -138,6 +147,12 @@
 
     private void tick() {
         long now = now();
+        noteOutage(now);
+        if (grace.expire(now)) {
+            Catalog before = catalog;
+            catalog = before.with(grace.inUse(registered));
+            logServers(before.servers(), catalog.servers(), "expiry");
+        }
         ticks++;
         tellLoad();
         fleetLoad.expire(now);
@@ -150,12 +165,24 @@
         }
     }
 
+    /** The platform counts as away while nobody has confirmed for some time what is known. */
+    private void noteOutage(long nowNanos) {
+        if (schedule.ageNanos(nowNanos).orElse(0) > OUTAGE_AGE_NANOS) {
+            outageNanos = nowNanos;
+            hadOutage = true;
+        }
+    }
+
+    private boolean isAfterOutage() {
+        return hadOutage && now() - outageNanos < OUTAGE_EFFECT_NANOS;
+    }
+
     private void read() {
         isReading = true;
         if (needsAll) {
             reader.readAll(new ReadingListener());
         } else {
-            reader.readChanges(catalog.servers().revision(), CHANGE_WAIT, new ReadingListener());
+            reader.readChanges(registered.revision(), CHANGE_WAIT, new ReadingListener());
         }
     }
 
@@ -187,7 +214,7 @@
 
     private void takeNews(MeshMessage.CatalogNews news) {
         wantConfiguration(news.configurationRevision());
-        long known = catalog.servers().revision();
+        long known = registered.revision();
         CatalogChange change = new CatalogChange(
                 news.since(),
                 news.revision(),
@@ -206,15 +233,17 @@
 
     private void publish(CatalogChange change, String source) {
         Catalog before = catalog;
-        ServerList servers = change.applyTo(before.servers());
-        Catalog after = before.with(servers);
+        ServerList servers = change.applyTo(registered);
+        grace.changed(registered, servers, isAfterOutage(), now());
+        registered = servers;
+        Catalog after = before.with(grace.inUse(servers));
         if (change.configuration().isPresent()) {
             after = after.with(change.configuration().get());
         }
         catalog = after;
         logServers(before.servers(), after.servers(), source);
         logConfiguration(before, after, source);
-        beliefs.retain(servers.all().stream().map(ServerChooser::keyOf).collect(Collectors.toSet()));
+        beliefs.retain(after.servers().all().stream().map(ServerChooser::keyOf).collect(Collectors.toSet()));
     }
 
     private void wantConfiguration(long revision) {
@@ -321,7 +350,7 @@
                 isPlatformLost = false;
                 log.important("platform-regained", Fields.of("revision", change.revision()));
             }
-            ServerList before = catalog.servers();
+            ServerList before = registered;
             if (change.follows(before.revision()) && change.revision() >= before.revision()) {
                 publish(change, "platform");
             }
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/catalog/RemovalGraceTest.java
@@ -0,0 +1,69 @@
+package io.coppershelf.catalog;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.coppershelf.testing.Catalogs;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Pattern: the platform is away, all registrations expire, and the servers still work. */
+final class RemovalGraceTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final RemovalGrace grace = new RemovalGrace();
+
+    @Test
+    void serversThatExpiredDuringAnOutageStayInUseUntilTheyCanBeBack() {
+        ServerList after = list(2);
+        grace.changed(list(1, "a", "b"), after, true, 0);
+        assertThat(grace.expire(2 * SECOND)).isFalse();
+        assertThat(grace.inUse(after).accepting("ledger")).hasSize(2);
+        assertThat(grace.expire(3 * SECOND)).isTrue();
+        assertThat(grace.inUse(after).accepting("ledger")).isEmpty();
+    }
+
+    @Test
+    void serverThatIsBackIsTakenAsItReportsItself() {
+        grace.changed(list(1, "a", "b"), list(2), true, 0);
+        ServerList back = list(3, "a");
+        grace.changed(list(2), back, false, SECOND);
+        assertThat(grace.inUse(back).all()).hasSize(2);
+        grace.expire(3 * SECOND);
+        assertThat(grace.inUse(back).all()).hasSize(1);
+    }
+
+    @Test
+    void singleServerThatVanishesIsGoneAtOnce() {
+        ServerList after = list(2, "b", "c", "d");
+        grace.changed(list(1, "a", "b", "c", "d"), after, false, 0);
+        assertThat(grace.inUse(after).server("a")).isEmpty();
+    }
+
+    @Test
+    void serversThatVanishTogetherStayInUseForLessThanTheBoundOnLeavingServers() {
+        ServerList after = list(2, "c");
+        grace.changed(list(1, "a", "b", "c"), after, false, 0);
+        assertThat(grace.inUse(after).all()).hasSize(3);
+        assertThat(grace.expire(SECOND)).isTrue();
+    }
+
+    @Test
+    void drainingServersAreNeverKept() {
+        BackendServer ready = Catalogs.server("a", "here");
+        BackendServer draining = new BackendServer(
+                "a", 1, ready.service(), ready.address(), ready.dataCentre(), ready.slots(), false, 0);
+        ServerList after = list(2);
+        grace.changed(ServerList.of(1, List.of(draining)), after, true, 0);
+        assertThat(grace.inUse(after).all()).isEmpty();
+    }
+
+    private static ServerList list(long revision, String... ids) {
+        List<BackendServer> servers = new ArrayList<>();
+        for (String id : ids) {
+            servers.add(Catalogs.server(id, "here"));
+        }
+        return ServerList.of(revision, servers);
+    }
+}
