Weigh waiting at a server by the square of the rounds; one class writes the lines on changed beliefs

Change: the first round of waiting costs 0.3, later ones grow with the square. The log lines of the fleet state moved to a class of their own.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -26,8 +26,11 @@
     private static final double SICK_FAILURE_SHARE = 0.8;
     /** Loss at a server whose slots are all busy but for this VM's request; it slows down when nearly full. */
     private static final double FULL_SLOTS_LOSS = 0.06;
-    /** Loss for each further round of requests that wait at the server. */
-    private static final double WAITING_ROUND_LOSS = 0.25;
+    /**
+     * Loss for the first round of requests that wait at the server, half of it growing with the square of the rounds:
+     * objectives are about three times the usual time, and what waits for a third round is late.
+     */
+    private static final double WAITING_ROUND_LOSS = 0.3;
     /** Loss at a server that is still cold. */
     private static final double COLD_LOSS = 0.04;
     /** Loss by the bytes of a small answer between data centres. */
@@ -113,7 +116,8 @@
         if (fill <= 1) {
             return FULL_SLOTS_LOSS * fill * fill;
         }
-        return FULL_SLOTS_LOSS + WAITING_ROUND_LOSS * (fill - 1);
+        double rounds = fill - 1;
+        return FULL_SLOTS_LOSS + WAITING_ROUND_LOSS * (rounds + rounds * rounds) / 2;
     }
 
     /** Forgets the servers that are not registered any more and have no request of this VM. */
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -2,6 +2,7 @@
 
 import io.coppershelf.belief.BeliefTable;
 import io.coppershelf.belief.Observation;
+import io.coppershelf.belief.ServerBelief;
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.Catalog;
 import io.coppershelf.catalog.CatalogChange;
@@ -17,7 +18,6 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -49,6 +49,7 @@
     private final Membership membership;
     private final ReadingSchedule schedule;
     private final EventLog log;
+    private final StateLog stateLog;
     private Optional<MeshSocket> socket = Optional.empty();
     private boolean isReading;
     private boolean isReadingConfiguration;
@@ -80,6 +81,7 @@
         this.membership = membership;
         schedule = new ReadingSchedule(random);
         this.log = log;
+        stateLog = new StateLog(log);
     }
 
     /** Starts to read the platform and to talk to peers. */
@@ -121,10 +123,7 @@
     public void observed(BackendServer server, Observation observation) {
         loop.execute(() -> {
             String key = ServerChooser.keyOf(server);
-            boolean wasSuspect = beliefs.belief(key, now()).isSuspect(now());
-            boolean isNews = beliefs.observe(key, observation, now());
-            logBelief(key, wasSuspect, "own request", observation);
-            if (isNews) {
+            if (observe(key, observation, "own request")) {
                 socket.ifPresent(open -> open.send(membership.live(now()), new MeshMessage.Evidence(key, observation)));
             }
         });
@@ -151,7 +150,7 @@
         if (grace.expire(now)) {
             Catalog before = catalog;
             catalog = before.with(grace.inUse(registered));
-            logServers(before.servers(), catalog.servers(), "expiry");
+            stateLog.servers(before.servers(), catalog.servers(), "expiry");
         }
         ticks++;
         tellLoad();
@@ -165,6 +164,14 @@
         }
     }
 
+    private boolean observe(String serverKey, Observation observation, String source) {
+        long now = now();
+        ServerBelief before = beliefs.belief(serverKey, now);
+        boolean isNews = beliefs.observe(serverKey, observation, now);
+        stateLog.belief(serverKey, before, beliefs.belief(serverKey, now), source, observation, now);
+        return isNews;
+    }
+
     /** The platform counts as away while nobody has confirmed for some time what is known. */
     private void noteOutage(long nowNanos) {
         if (schedule.ageNanos(nowNanos).orElse(0) > OUTAGE_AGE_NANOS) {
@@ -195,9 +202,7 @@
                 send(sender, new MeshMessage.Members(membership.nextEntries(hasNew, now()), false));
             }
         } else if (message instanceof MeshMessage.Evidence evidence) {
-            boolean wasSuspect = beliefs.belief(evidence.serverKey(), now()).isSuspect(now());
-            beliefs.observe(evidence.serverKey(), evidence.observation(), now());
-            logBelief(evidence.serverKey(), wasSuspect, sender.toString(), evidence.observation());
+            observe(evidence.serverKey(), evidence.observation(), sender.toString());
         } else if (message instanceof MeshMessage.Load load) {
             takeLoad(sender, load);
         } else if (message instanceof MeshMessage.CatalogNews news) {
@@ -241,8 +246,8 @@
             after = after.with(change.configuration().get());
         }
         catalog = after;
-        logServers(before.servers(), after.servers(), source);
-        logConfiguration(before, after, source);
+        stateLog.servers(before.servers(), after.servers(), source);
+        stateLog.configuration(before, after, source);
         beliefs.retain(after.servers().all().stream().map(ServerChooser::keyOf).collect(Collectors.toSet()));
     }
 
@@ -267,7 +272,7 @@
         isReadingConfiguration = false;
         Catalog before = catalog;
         catalog = before.with(configuration);
-        logConfiguration(before, catalog, "platform");
+        stateLog.configuration(before, catalog, "platform");
         wantConfiguration(wantedConfiguration);
     }
 
@@ -287,59 +292,6 @@
         return System.nanoTime();
     }
 
-    private void logBelief(String key, boolean wasSuspect, String source, Observation observation) {
-        boolean isSuspect = beliefs.belief(key, now()).isSuspect(now());
-        if (isSuspect != wasSuspect) {
-            log.important(
-                    isSuspect ? "server-suspected" : "server-trusted",
-                    Fields.of(
-                            "server",
-                            key,
-                            "observation",
-                            observation.name(),
-                            "source",
-                            source,
-                            "sickness",
-                            beliefs.belief(key, now()).sicknessAt(now())));
-        }
-    }
-
-    private void logServers(ServerList before, ServerList after, String source) {
-        List<String> changes = new ArrayList<>();
-        for (BackendServer server : after.all()) {
-            Optional<BackendServer> known = before.server(server.id());
-            if (known.isEmpty()) {
-                changes.add("+" + server.id());
-            } else if (!known.get().isSameForRouting(server)) {
-                changes.add((server.isAccepting() ? "~" : "draining ") + server.id());
-            }
-        }
-        for (BackendServer server : before.all()) {
-            if (after.server(server.id()).isEmpty()) {
-                changes.add("-" + server.id());
-            }
-        }
-        if (!changes.isEmpty()) {
-            log.important(
-                    "servers-changed",
-                    Fields.of("revision", after.revision(), "source", source, "changes", String.join(" ", changes)));
-        }
-    }
-
-    private void logConfiguration(Catalog before, Catalog after, String source) {
-        if (after.configuration().equals(before.configuration())) {
-            return;
-        }
-        after.configuration()
-                .ifPresent(configuration -> log.important(
-                        "configuration-in-force",
-                        Fields.of(
-                                "version", configuration.version(),
-                                "revision", configuration.revision(),
-                                "routes", configuration.routes().size(),
-                                "source", source)));
-    }
-
     /** Takes the result of a reading of the platform. */
     private final class ReadingListener implements CatalogReader.Listener {
         @Override
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/StateLog.java
@@ -0,0 +1,88 @@
+package io.coppershelf.mesh;
+
+import io.coppershelf.belief.Observation;
+import io.coppershelf.belief.ServerBelief;
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.Catalog;
+import io.coppershelf.catalog.ServerList;
+import io.coppershelf.eventlog.EventLog;
+import io.coppershelf.eventlog.Fields;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Writes a log line for each change of what this VM believes. */
+final class StateLog {
+    private final EventLog log;
+
+    StateLog(EventLog log) {
+        this.log = log;
+    }
+
+    /**
+     * Tells that a server is suspected or trusted again, if that has changed.
+     *
+     * @param source who made the observation
+     */
+    void belief(
+            String serverKey,
+            ServerBelief before,
+            ServerBelief after,
+            String source,
+            Observation observation,
+            long nowNanos) {
+        boolean isSuspect = after.isSuspect(nowNanos);
+        if (isSuspect == before.isSuspect(nowNanos)) {
+            return;
+        }
+        log.important(
+                isSuspect ? "server-suspected" : "server-trusted",
+                Fields.of(
+                        "server",
+                        serverKey,
+                        "observation",
+                        observation.name(),
+                        "source",
+                        source,
+                        "sickness",
+                        after.sicknessAt(nowNanos)));
+    }
+
+    /** Tells which servers joined, left or changed, if any. */
+    void servers(ServerList before, ServerList after, String source) {
+        List<String> changes = new ArrayList<>();
+        for (BackendServer server : after.all()) {
+            Optional<BackendServer> known = before.server(server.id());
+            if (known.isEmpty()) {
+                changes.add("+" + server.id());
+            } else if (!known.get().isSameForRouting(server)) {
+                changes.add((server.isAccepting() ? "~" : "draining ") + server.id());
+            }
+        }
+        for (BackendServer server : before.all()) {
+            if (after.server(server.id()).isEmpty()) {
+                changes.add("-" + server.id());
+            }
+        }
+        if (!changes.isEmpty()) {
+            log.important(
+                    "servers-changed",
+                    Fields.of("revision", after.revision(), "source", source, "changes", String.join(" ", changes)));
+        }
+    }
+
+    /** Tells which configuration is in force, if that has changed. */
+    void configuration(Catalog before, Catalog after, String source) {
+        if (after.configuration().equals(before.configuration())) {
+            return;
+        }
+        after.configuration()
+                .ifPresent(configuration -> log.important(
+                        "configuration-in-force",
+                        Fields.of(
+                                "version", configuration.version(),
+                                "revision", configuration.revision(),
+                                "routes", configuration.routes().size(),
+                                "source", source)));
+    }
+}
