Bound the memory of request bodies; one list of hop-by-hop headers

Cause: bodies up to the operator's 64 MB were collected in a heap of 64 MB, so one caller could end the daemon. The per-hop headers stood twice. Ruled out: streaming bodies (a request that no server has seen must be able to go to a second one).

--- a/coppershelf/src/main/java/io/coppershelf/backend/HeaderRules.java
+++ b/coppershelf/src/main/java/io/coppershelf/backend/HeaderRules.java
@@ -33,6 +33,11 @@
 
     private HeaderRules() {}
 
+    /** Returns whether a header, by its name in lower case, concerns one hop alone. */
+    public static boolean isPerHop(String lowerCaseName) {
+        return PER_HOP.contains(lowerCaseName);
+    }
+
     /**
      * Returns the headers that go on, without those that the {@code Connection} header names.
      *
@@ -51,10 +56,6 @@
         return List.copyOf(result);
     }
 
-    private static boolean isPerHop(String lowerCaseName) {
-        return PER_HOP.contains(lowerCaseName);
-    }
-
     private static boolean isOwned(String lowerCaseName) {
         return lowerCaseName.startsWith(OWNED_PREFIX);
     }
--- a/coppershelf/src/main/java/io/coppershelf/http/HttpLink.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpLink.java
@@ -24,7 +24,7 @@
  */
 public final class HttpLink extends ChannelInboundHandlerAdapter {
     /** The largest answer that is kept in memory, in bytes; the largest ones of the workloads are about a megabyte. */
-    private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+    private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
     /** How long an idle connection is used if the server states no limit; below the usual server's ten seconds. */
     private static final long DEFAULT_IDLE_NANOS = TimeUnit.SECONDS.toNanos(8);
     /** Taken off the limit that the server states, for the way there. */
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -53,6 +53,7 @@
     private Optional<HttpRequest> head = Optional.empty();
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private long headAtNanos;
+    private long heldBytes;
     private Optional<RequestRun> run = Optional.empty();
     private boolean isBusy;
     private boolean isClosing;
@@ -100,6 +101,11 @@
                 refuse(ErrorKind.BODY_TOO_LARGE, "the body exceeds " + limits.bodyBytes() + " bytes");
                 return;
             }
+            if (!context.bodies().tryTake(content.content().readableBytes())) {
+                refuse(ErrorKind.OVERLOADED, "no memory is free for the body");
+                return;
+            }
+            heldBytes += content.content().readableBytes();
             body.writeBytes(content.content());
             startIdleTimer();
             if (message instanceof LastHttpContent) {
@@ -169,6 +175,9 @@
     private void answered(CallerRequest request, boolean isKept) {
         isBusy = false;
         run = Optional.empty();
+        if (waiting.isEmpty() && head.isEmpty()) {
+            releaseBodies();
+        }
         if (!isKept || !request.isKeepAlive()) {
             return;
         }
@@ -179,6 +188,11 @@
         }
     }
 
+    private void releaseBodies() {
+        context.bodies().release(heldBytes);
+        heldBytes = 0;
+    }
+
     private void startIdleTimer() {
         idleTimer.ifPresent(scheduled -> scheduled.cancel(false));
         idleTimer = Optional.of(
@@ -213,7 +227,7 @@
         }
         isBusy = true;
         CallerRequest unread = new CallerRequest(HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false);
-        new Sink(unread).fail(kind, reason, Optional.empty());
+        new Sink(unread).fail(kind, reason, kind.retryAfter());
     }
 
     private static ErrorKind malformed(Throwable cause) {
@@ -227,6 +241,7 @@
         cancelHeadTimer();
         idleTimer.ifPresent(scheduled -> scheduled.cancel(false));
         run.ifPresent(RequestRun::callerLeft);
+        releaseBodies();
         run = Optional.empty();
         waiting.clear();
     }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/EndToEndHeaders.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/EndToEndHeaders.java
@@ -1,22 +1,15 @@
 package io.coppershelf.proxy;
 
+import io.coppershelf.backend.HeaderRules;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
+import java.util.Locale;
 
 /** Copies the headers that concern the whole way; those of one connection stay behind. */
 final class EndToEndHeaders {
-    private static final List<CharSequence> OF_ONE_CONNECTION = List.of(
-            HttpHeaderNames.CONNECTION,
-            "proxy-connection",
-            HttpHeaderNames.TE,
-            HttpHeaderNames.TRAILER,
-            HttpHeaderNames.TRANSFER_ENCODING,
-            HttpHeaderNames.UPGRADE,
-            HttpHeaderNames.EXPECT,
-            HttpHeaderNames.CONTENT_LENGTH,
-            "keep-alive");
+    private static final String HOST = HttpHeaderNames.HOST.toString();
 
     private EndToEndHeaders() {}
 
@@ -30,7 +23,14 @@
                 }
             }
         }
-        OF_ONE_CONNECTION.forEach(headers::remove);
+        List<String> names = List.copyOf(headers.names());
+        for (String name : names) {
+            String lowerCaseName = name.toLowerCase(Locale.ROOT);
+            // A server tells its routes apart by the host that the caller asked for.
+            if (HeaderRules.isPerHop(lowerCaseName) && !lowerCaseName.equals(HOST)) {
+                headers.remove(name);
+            }
+        }
         return headers;
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
@@ -24,7 +24,11 @@
         ServerPool pool,
         TrafficMetrics metrics,
         EventLog log,
+        BodyMemory bodies,
         Map<String, TypicalLatency> latencies) {
+    /** Memory for the bodies of requests, in bytes; a quarter of the heap that the deployment gives. */
+    private static final long BODY_BYTES = 32L * 1024 * 1024;
+
     static TrafficContext create(
             EventLoop loop,
             HeaderNames names,
@@ -35,7 +39,18 @@
             ServerPool pool,
             TrafficMetrics metrics,
             EventLog log) {
-        return new TrafficContext(loop, names, state, chooser, budget, split, pool, metrics, log, new HashMap<>());
+        return new TrafficContext(
+                loop,
+                names,
+                state,
+                chooser,
+                budget,
+                split,
+                pool,
+                metrics,
+                log,
+                new BodyMemory(BODY_BYTES),
+                new HashMap<>());
     }
 
     /** Returns the usual times of a service for one kind of requests. */
