A stopping VM reads no more requests before it exits, and answers those that it has read

Cause: between the last look at the requests under way and the exit, a request could be read and lost. Change: reading stops first, then the requests under way are awaited once more.

--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -99,13 +99,18 @@
         TimeUnit.NANOSECONDS.sleep(BALANCER_NOTICE.toNanos());
         long limitNanos = settings.stopLimit().minus(STOP_MARGIN).toNanos();
         traffic.closeIdleCallers();
-        while (traffic.requestsUnderWay() > 0 && System.nanoTime() - startNanos < limitNanos) {
-            TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
-        }
-        TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
+        awaitAnswers(startNanos + limitNanos);
+        traffic.stopReading();
+        awaitAnswers(startNanos + limitNanos);
         log.important("stopped", Fields.of("underWay", traffic.requestsUnderWay()));
     }
 
+    private void awaitAnswers(long limitNanos) throws InterruptedException {
+        do {
+            TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
+        } while (traffic.requestsUnderWay() > 0 && System.nanoTime() - limitNanos < 0);
+    }
+
     /** A VM whose metrics can't be served still serves callers. */
     private static void serveMetrics(
             EventLoop control, InetSocketAddress address, PrometheusRegistry registry, EventLog log) {
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -13,6 +13,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -25,6 +26,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 
@@ -40,6 +42,7 @@
 
     private final TrafficContext context;
     private final ChannelGroup callers;
+    private Optional<Channel> listener = Optional.empty();
 
     /**
      * Creates a server that does not listen yet.
@@ -73,7 +76,7 @@
 
     /** Listens; callers are served from then on. */
     public void listen(InetSocketAddress address) {
-        new ServerBootstrap()
+        ChannelFuture bound = new ServerBootstrap()
                 .group(context.loop(), context.loop())
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -83,6 +86,7 @@
                 .childHandler(new CallerInitializer())
                 .bind(address)
                 .syncUninterruptibly();
+        listener = Optional.of(bound.channel());
         context.loop().scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -98,6 +102,16 @@
                         channel.pipeline().get(CallerConnection.class).closeIfIdle()));
     }
 
+    /** Takes no more connections and reads no more requests; those that were read are answered. */
+    public void stopReading() {
+        context.loop()
+                .submit(() -> {
+                    listener.ifPresent(Channel::close);
+                    callers.forEach(channel -> channel.config().setAutoRead(false));
+                })
+                .syncUninterruptibly();
+    }
+
     private void sweep() {
         Catalog catalog = context.state().catalog();
         context.pool().sweep(catalog.servers(), System.nanoTime());
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -40,10 +40,11 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final FakeTrafficState state = new FakeTrafficState();
     private final InetSocketAddress address;
+    private final TrafficServer server;
 
     ProxyFixture() throws IOException {
         address = new InetSocketAddress("127.0.0.1", freePort());
-        TrafficServer server = new TrafficServer(
+        server = new TrafficServer(
                 group.next(),
                 NAMES,
                 state,
@@ -80,6 +81,10 @@
         state.use(new Catalog(Optional.of(configuration), ServerList.of(1, list)));
     }
 
+    TrafficServer server() {
+        return server;
+    }
+
     FakeTrafficState state() {
         return state;
     }
--- a/coppershelf/src/test/java/io/coppershelf/proxy/TrafficServerTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/TrafficServerTest.java
@@ -311,6 +311,22 @@
         }
     }
 
+    @Test
+    void requestThatWasReadIsAnsweredAfterReadingHasStopped() throws IOException, InterruptedException {
+        try (FakeBackendServer server = FakeBackendServer.start(request -> {
+                    proxy.server().stopReading();
+                    return ProxyFixture.answer(request, 200, "read");
+                });
+                RawCaller caller = proxy.connect()) {
+            proxy.serve(server);
+            caller.send(ProxyFixture.request("GET", "/safe/1", 3000));
+            assertThat(caller.reply().body()).isEqualTo("read");
+            caller.sendLossy(ProxyFixture.request("GET", "/safe/2", 3000));
+            TimeUnit.MILLISECONDS.sleep(200);
+            assertThat(server.received()).hasSize(1);
+        }
+    }
+
     private static FakeBackendServer answering(int status) throws IOException {
         return FakeBackendServer.start(request -> ProxyFixture.answer(request, status, "b"));
     }
