--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -36,7 +36,7 @@
     /** Loss by the bytes of a small answer between data centres. */
     private static final double REMOTE_LOSS = 0.012;
     /** Loss by the bytes of a large answer between data centres. */
-    private static final double REMOTE_LARGE_LOSS = 0.05;
+    private static final double REMOTE_LARGE_LOSS = 0.12;
     /** Loss where the last connection attempts failed. */
     private static final double BROKEN_PATH_LOSS = 2.0;
     /** Spreads choices among servers that are about as good. */
