--- a/coppershelf/src/main/java/io/coppershelf/dispatch/FleetLoad.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/FleetLoad.java
@@ -30,15 +30,19 @@
      * Takes the number of requests that a VM has at a server.
      *
      * @param vm anything that stands for the VM
+     * @return whether it has more than before, so that it has sent one
      */
-    public void heard(Object vm, long serverCode, int inFlight, long nowNanos) {
+    public boolean heard(Object vm, long serverCode, int inFlight, long nowNanos) {
         Map<Object, Count> counts = countsByServer.computeIfAbsent(serverCode, code -> new HashMap<>());
+        Count before = counts.get(vm);
+        boolean hasMore = inFlight > (before == null ? 0 : before.inFlight);
         if (inFlight > 0) {
             counts.put(vm, new Count(inFlight, nowNanos));
         } else {
             counts.remove(vm);
         }
         update(serverCode, counts);
+        return hasMore;
     }
 
     /** Forgets counts that were not repeated in time. */
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -45,6 +45,7 @@
     private final String dataCentre;
     private final BeliefTable beliefs;
     private final FleetLoad fleetLoad;
+    private final ServiceSpread spread;
     private final Random random;
     private final Map<String, ServerUse> uses = new HashMap<>();
 
@@ -54,11 +55,14 @@
      * @param dataCentre the data centre of this VM
      * @param beliefs what the fleet believes of servers
      * @param fleetLoad the requests of other VMs
+     * @param spread keeps the floor of servers in use
      */
-    public ServerChooser(String dataCentre, BeliefTable beliefs, FleetLoad fleetLoad, Random random) {
+    public ServerChooser(
+            String dataCentre, BeliefTable beliefs, FleetLoad fleetLoad, ServiceSpread spread, Random random) {
         this.dataCentre = dataCentre;
         this.beliefs = beliefs;
         this.fleetLoad = fleetLoad;
+        this.spread = spread;
         this.random = random;
     }
 
@@ -81,6 +85,15 @@
      */
     public Optional<BackendServer> choose(
             List<BackendServer> servers, RequestKind kind, boolean isLastChance, Set<String> excluded, long nowNanos) {
+        List<BackendServer> due = spread.unused(servers, isLastChance, nowNanos).stream()
+                .filter(server -> !use(server).isPathAvoided(nowNanos))
+                .toList();
+        Optional<BackendServer> forFloor = best(due, kind, isLastChance, excluded, nowNanos);
+        return forFloor.isPresent() ? forFloor : best(servers, kind, isLastChance, excluded, nowNanos);
+    }
+
+    private Optional<BackendServer> best(
+            List<BackendServer> servers, RequestKind kind, boolean isLastChance, Set<String> excluded, long nowNanos) {
         BackendServer best = null;
         double bestLoss = Double.POSITIVE_INFINITY;
         for (BackendServer server : servers) {
--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -1,11 +1,10 @@
 package io.coppershelf.gateway;
 
-import io.coppershelf.belief.BeliefTable;
 import io.coppershelf.catalog.CatalogReader;
-import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.RetryBudget;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
+import io.coppershelf.mesh.FleetEvidence;
 import io.coppershelf.mesh.FleetState;
 import io.coppershelf.mesh.Membership;
 import io.coppershelf.proxy.TrafficServer;
@@ -57,11 +56,10 @@
         EventLoop control = newLoop("control");
         EventLoop trafficLoop = newLoop("traffic");
         Random random = new Random();
-        BeliefTable beliefs = new BeliefTable();
-        FleetLoad fleetLoad = new FleetLoad();
+        FleetEvidence evidence = FleetEvidence.create();
         Membership membership = new Membership(
                 settings.meshAddress(), System.currentTimeMillis(), settings.seeds(), random, System.nanoTime());
-        FleetState state = new FleetState(control, readers.apply(control), beliefs, fleetLoad, membership, random, log);
+        FleetState state = new FleetState(control, readers.apply(control), evidence, membership, random, log);
         PrometheusRegistry registry = new PrometheusRegistry();
         RetryBudget budget =
                 new RetryBudget(settings.retryRatio(), settings.retriesPerWindow(), settings.retryWindow());
@@ -69,8 +67,9 @@
                 trafficLoop,
                 settings.headers(),
                 state,
-                beliefs,
-                fleetLoad,
+                evidence.beliefs(),
+                evidence.load(),
+                evidence.spread(),
                 budget,
                 settings.dataCentre(),
                 registry,
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetEvidence.java
@@ -0,0 +1,60 @@
+package io.coppershelf.mesh;
+
+import io.coppershelf.belief.BeliefTable;
+import io.coppershelf.belief.Observation;
+import io.coppershelf.belief.ServerBelief;
+import io.coppershelf.catalog.ServerList;
+import io.coppershelf.dispatch.FleetLoad;
+import io.coppershelf.dispatch.ServerChooser;
+import io.coppershelf.dispatch.ServiceSpread;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * What this VM knows of servers by the requests of all VMs. The control thread changes it; the traffic thread reads its
+ * parts.
+ *
+ * @param beliefs how likely each server is sick
+ * @param load the requests of other VMs under way at each server
+ * @param spread which servers had requests of late
+ */
+public record FleetEvidence(BeliefTable beliefs, FleetLoad load, ServiceSpread spread) {
+    /** Returns an empty one. */
+    public static FleetEvidence create() {
+        return new FleetEvidence(new BeliefTable(), new FleetLoad(), new ServiceSpread());
+    }
+
+    /**
+     * Takes the outcome of a request.
+     *
+     * @param source the VM that saw it
+     * @return whether it is news for the fleet
+     */
+    boolean observe(String serverKey, Observation observation, String source, StateLog log, long nowNanos) {
+        ServerBelief before = beliefs.belief(serverKey, nowNanos);
+        boolean isNews = beliefs.observe(serverKey, observation, nowNanos);
+        if (observation.isBad()) {
+            spread.failed(FleetLoad.codeOf(serverKey), nowNanos);
+        }
+        log.belief(serverKey, before, beliefs.belief(serverKey, nowNanos), source, observation, nowNanos);
+        return isNews;
+    }
+
+    /** Takes what another VM tells of its requests under way. */
+    void heard(Object vm, MeshMessage.Load told, long nowNanos) {
+        int size = Math.min(told.serverCodes().size(), told.inFlight().size());
+        for (int i = 0; i < size; i++) {
+            long code = told.serverCodes().get(i);
+            if (load.heard(vm, code, told.inFlight().get(i), nowNanos)) {
+                spread.began(code, nowNanos);
+            }
+        }
+    }
+
+    /** Forgets servers that are not in the list. */
+    void retain(ServerList servers) {
+        Set<String> keys = servers.all().stream().map(ServerChooser::keyOf).collect(Collectors.toSet());
+        beliefs.retain(keys);
+        spread.retain(keys.stream().map(FleetLoad::codeOf).collect(Collectors.toSet()));
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -1,8 +1,6 @@
 package io.coppershelf.mesh;
 
-import io.coppershelf.belief.BeliefTable;
 import io.coppershelf.belief.Observation;
-import io.coppershelf.belief.ServerBelief;
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.Catalog;
 import io.coppershelf.catalog.CatalogChange;
@@ -10,7 +8,6 @@
 import io.coppershelf.catalog.FleetConfiguration;
 import io.coppershelf.catalog.RemovalGrace;
 import io.coppershelf.catalog.ServerList;
-import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
@@ -43,8 +40,7 @@
 
     private final EventLoop loop;
     private final CatalogReader reader;
-    private final BeliefTable beliefs;
-    private final FleetLoad fleetLoad;
+    private final FleetEvidence evidence;
     private final LoadReport loadReport = new LoadReport();
     private final Membership membership;
     private final ReadingSchedule schedule;
@@ -69,15 +65,13 @@
     public FleetState(
             EventLoop loop,
             CatalogReader reader,
-            BeliefTable beliefs,
-            FleetLoad fleetLoad,
+            FleetEvidence evidence,
             Membership membership,
             Random random,
             EventLog log) {
         this.loop = loop;
         this.reader = reader;
-        this.beliefs = beliefs;
-        this.fleetLoad = fleetLoad;
+        this.evidence = evidence;
         this.membership = membership;
         schedule = new ReadingSchedule(random);
         this.log = log;
@@ -133,6 +127,9 @@
     public void loadChanged(long serverCode, int inFlight, boolean isBegin) {
         loop.execute(() -> {
             long now = now();
+            if (isBegin) {
+                evidence.spread().began(serverCode, now);
+            }
             long dueNanos = loadReport.changed(serverCode, inFlight, isBegin, now);
             if (isBegin) {
                 loop.schedule(this::tellLoad, Math.max(0, dueNanos - now), TimeUnit.NANOSECONDS);
@@ -154,7 +151,7 @@
         }
         ticks++;
         tellLoad();
-        fleetLoad.expire(now);
+        evidence.load().expire(now);
         if (ticks % TICKS_PER_MEMBERS == 1) {
             membership.nextReceiver(now).ifPresent(receiver -> send(receiver, members(true)));
             fleetSize = membership.fleetSize(now());
@@ -165,11 +162,7 @@
     }
 
     private boolean observe(String serverKey, Observation observation, String source) {
-        long now = now();
-        ServerBelief before = beliefs.belief(serverKey, now);
-        boolean isNews = beliefs.observe(serverKey, observation, now);
-        stateLog.belief(serverKey, before, beliefs.belief(serverKey, now), source, observation, now);
-        return isNews;
+        return evidence.observe(serverKey, observation, source, stateLog, now());
     }
 
     /** The platform counts as away while nobody has confirmed for some time what is known. */
@@ -201,22 +194,15 @@
             if (hasNew || members.wantsReply()) {
                 send(sender, new MeshMessage.Members(membership.nextEntries(hasNew, now()), false));
             }
-        } else if (message instanceof MeshMessage.Evidence evidence) {
-            observe(evidence.serverKey(), evidence.observation(), sender.toString());
+        } else if (message instanceof MeshMessage.Evidence outcome) {
+            observe(outcome.serverKey(), outcome.observation(), sender.toString());
         } else if (message instanceof MeshMessage.Load load) {
-            takeLoad(sender, load);
+            evidence.heard(sender, load, now());
         } else if (message instanceof MeshMessage.CatalogNews news) {
             takeNews(news);
         }
     }
 
-    private void takeLoad(InetSocketAddress sender, MeshMessage.Load load) {
-        int size = Math.min(load.serverCodes().size(), load.inFlight().size());
-        for (int i = 0; i < size; i++) {
-            fleetLoad.heard(sender, load.serverCodes().get(i), load.inFlight().get(i), now());
-        }
-    }
-
     private void takeNews(MeshMessage.CatalogNews news) {
         wantConfiguration(news.configurationRevision());
         long known = registered.revision();
@@ -248,7 +234,7 @@
         catalog = after;
         stateLog.servers(before.servers(), after.servers(), source);
         stateLog.configuration(before, after, source);
-        beliefs.retain(after.servers().all().stream().map(ServerChooser::keyOf).collect(Collectors.toSet()));
+        evidence.retain(after.servers());
     }
 
     private void wantConfiguration(long revision) {
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -7,6 +7,7 @@
 import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.RetryBudget;
 import io.coppershelf.dispatch.ServerChooser;
+import io.coppershelf.dispatch.ServiceSpread;
 import io.coppershelf.dispatch.WeightedSplit;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.http.HttpConnector;
@@ -56,6 +57,7 @@
             TrafficState state,
             BeliefTable beliefs,
             FleetLoad fleetLoad,
+            ServiceSpread spread,
             RetryBudget budget,
             String dataCentre,
             PrometheusRegistry registry,
@@ -66,7 +68,7 @@
                 loop,
                 names,
                 state,
-                new ServerChooser(dataCentre, beliefs, fleetLoad, random),
+                new ServerChooser(dataCentre, beliefs, fleetLoad, spread, random),
                 budget,
                 new WeightedSplit(random),
                 new ServerPool(new HttpConnector(loop, CONNECT_TIMEOUT)),
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
@@ -19,7 +19,8 @@
 
     private final BeliefTable beliefs = new BeliefTable();
     private final FleetLoad fleetLoad = new FleetLoad();
-    private final ServerChooser chooser = new ServerChooser("here", beliefs, fleetLoad, new Random(7));
+    private final ServerChooser chooser =
+            new ServerChooser("here", beliefs, fleetLoad, new ServiceSpread(), new Random(7));
     private final BackendServer near = Catalogs.server("near", "here");
     private final BackendServer far = Catalogs.server("far", "there");
 
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -12,6 +12,7 @@
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.RetryBudget;
+import io.coppershelf.dispatch.ServiceSpread;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.testing.FakeBackendServer;
 import io.coppershelf.testing.RawCaller;
@@ -50,6 +51,7 @@
                 state,
                 new BeliefTable(),
                 new FleetLoad(),
+                new ServiceSpread(),
                 new RetryBudget(0.2, 58, Duration.ofSeconds(10)),
                 "here",
                 new PrometheusRegistry(),
