A stopping VM stops reading after three seconds; the log writes its last lines before the exit

The line on the stop was lost, as the writer sleeps between batches. Change: after three seconds no more requests are read, whether or not some are under way.

--- a/coppershelf/src/main/java/io/coppershelf/eventlog/JsonEventLog.java
+++ b/coppershelf/src/main/java/io/coppershelf/eventlog/JsonEventLog.java
@@ -22,6 +22,11 @@
     /** Important lines a second; a process in trouble repeats itself beyond this. */
     private static final int IMPORTANT_LINES_PER_SECOND = 200;
 
+    /** Lines are written together; each write costs a system call. */
+    private static final long BATCH_MILLIS = 250;
+    /** Longest wait for the last lines. */
+    private static final long CLOSE_MILLIS = 200;
+
     private final BlockingQueue<Line> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
     private final AtomicLong dropped = new AtomicLong();
     private final RateLimit routineRate = new RateLimit(ROUTINE_LINES_PER_SECOND);
@@ -29,21 +34,29 @@
     private final JsonFactory json = new JsonFactory();
     private final OutputStream out;
     private final String vm;
+    private final Thread writer;
+    private long reportedDropped;
 
     private JsonEventLog(OutputStream out, String vm) {
         this.out = out;
         this.vm = vm;
+        writer = new Thread(this::writeForever, "event-log");
+        writer.setDaemon(true);
     }
 
     /** Starts a log that a background thread writes to the stream. */
     public static JsonEventLog start(OutputStream out, String vm) {
         JsonEventLog log = new JsonEventLog(out, vm);
-        Thread writer = new Thread(log::writeForever, "event-log");
-        writer.setDaemon(true);
-        writer.start();
+        log.writer.start();
         return log;
     }
 
+    /** Writes the lines that wait, and ends the log; waits for it no longer than a moment. */
+    public void close() throws InterruptedException {
+        writer.interrupt();
+        writer.join(CLOSE_MILLIS);
+    }
+
     /** Returns how many lines were dropped so far. */
     public long dropped() {
         return dropped.get();
@@ -61,33 +74,42 @@
     }
 
     private void writeForever() {
-        long reported = 0;
         try {
             while (true) {
-                Line line = queue.take();
-                ByteArrayOutputStream batch = new ByteArrayOutputStream();
-                append(batch, line);
-                for (Line next = queue.poll(); next != null; next = queue.poll()) {
-                    append(batch, next);
-                }
-                long droppedNow = dropped.get();
-                if (droppedNow > reported) {
-                    append(batch, droppedLine(droppedNow));
-                    reported = droppedNow;
-                }
-                batch.writeTo(out);
-                out.flush();
+                writeBatch(queue.take());
                 TimeUnit.MILLISECONDS.sleep(BATCH_MILLIS);
             }
         } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            writeRest();
         } catch (IOException e) {
             System.err.println("coppershelf: the event log ends, its output can't be written: " + e);
         }
     }
 
-    /** Lines are written together; each write costs a system call. */
-    private static final long BATCH_MILLIS = 250;
+    private void writeRest() {
+        try {
+            Line first = queue.poll();
+            if (first != null) {
+                writeBatch(first);
+            }
+        } catch (IOException e) {
+            System.err.println("coppershelf: the last lines of the event log can't be written: " + e);
+        }
+    }
+
+    private void writeBatch(Line first) throws IOException {
+        ByteArrayOutputStream batch = new ByteArrayOutputStream();
+        for (Line next = first; next != null; next = queue.poll()) {
+            append(batch, next);
+        }
+        long droppedNow = dropped.get();
+        if (droppedNow > reportedDropped) {
+            append(batch, droppedLine(droppedNow));
+            reportedDropped = droppedNow;
+        }
+        batch.writeTo(out);
+        out.flush();
+    }
 
     private static Line droppedLine(long count) {
         return new Line(System.currentTimeMillis(), "log-lines-dropped", Fields.of("total", count));
--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -30,6 +30,11 @@
      * After this time the balancer has noticed that the VM is not ready; it asks once a second and needs two misses.
      */
     private static final Duration BALANCER_NOTICE = Duration.ofMillis(2600);
+    /**
+     * After this time no more requests are read, although callers may still send some while few VMs are in rotation;
+     * half of the six seconds until the process is killed is left for those that were read.
+     */
+    private static final Duration LATEST_READING = Duration.ofSeconds(3);
     /** Taken off the stop limit, so that the process ends by itself. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
 
@@ -98,7 +103,7 @@
         TimeUnit.NANOSECONDS.sleep(BALANCER_NOTICE.toNanos());
         long limitNanos = settings.stopLimit().minus(STOP_MARGIN).toNanos();
         traffic.closeIdleCallers();
-        awaitAnswers(startNanos + limitNanos);
+        awaitAnswers(startNanos + LATEST_READING.toNanos());
         traffic.stopReading();
         awaitAnswers(startNanos + limitNanos);
         log.important("stopped", Fields.of("underWay", traffic.requestsUnderWay()));
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -57,6 +57,7 @@
     private Optional<RequestRun> run = Optional.empty();
     private boolean isBusy;
     private boolean isClosing;
+    private boolean isReadingStopped;
     private Optional<ScheduledFuture<?>> idleTimer = Optional.empty();
     private Optional<ScheduledFuture<?>> headTimer = Optional.empty();
     private Channel channel;
@@ -150,7 +151,7 @@
         body = Unpooled.EMPTY_BUFFER;
         waiting.add(new CallerRequest(
                 request.method(), request.uri(), request.headers(), bytes, headAtNanos, HttpUtil.isKeepAlive(request)));
-        channel.config().setAutoRead(waiting.size() < MAX_WAITING);
+        channel.config().setAutoRead(!isReadingStopped && waiting.size() < MAX_WAITING);
         serveNext();
     }
 
@@ -160,7 +161,7 @@
         }
         isBusy = true;
         CallerRequest request = waiting.remove();
-        channel.config().setAutoRead(true);
+        channel.config().setAutoRead(!isReadingStopped);
         Sink sink = new Sink(request);
         Optional<Route> route = gate.route(request, sink);
         if (route.isEmpty()) {
@@ -206,6 +207,12 @@
         }
     }
 
+    /** Reads no more requests; what the caller sends from now on stays unread. */
+    void stopReading() {
+        isReadingStopped = true;
+        channel.config().setAutoRead(false);
+    }
+
     private void idleTooLong() {
         if (head.isPresent()) {
             refuse(ErrorKind.SLOW_REQUEST, "the body took too long");
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -109,7 +109,8 @@
         context.loop()
                 .submit(() -> {
                     listener.ifPresent(Channel::close);
-                    callers.forEach(channel -> channel.config().setAutoRead(false));
+                    callers.forEach(channel ->
+                            channel.pipeline().get(CallerConnection.class).stopReading());
                 })
                 .syncUninterruptibly();
     }
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/eventlog/JsonEventLogTest.java
@@ -0,0 +1,72 @@
+package io.coppershelf.eventlog;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(20)
+final class JsonEventLogTest {
+    private static final int FLOOD = 100_000;
+
+    @Test
+    void lineHoldsItsFieldsInOrder() throws InterruptedException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        JsonEventLog log = JsonEventLog.start(out, "vm-1");
+        log.important("server-suspected", Fields.of("server", "i-1", "sickness", 0.81234, "known", true, "count", 3));
+        log.close();
+        assertThat(out.toString(StandardCharsets.UTF_8))
+                .contains("\"vm\":\"vm-1\",\"event\":\"server-suspected\",\"server\":\"i-1\",\"sickness\":0.812,"
+                        + "\"known\":true,\"count\":3}");
+    }
+
+    /** Pattern: the reader of the log stalls while the VM is flooded; requests must not wait for it. */
+    @Test
+    void floodIntoASinkThatDoesNotReadIsDroppedAndCounted() throws InterruptedException {
+        CountDownLatch blocked = new CountDownLatch(1);
+        JsonEventLog log = JsonEventLog.start(new StuckStream(blocked), "vm-1");
+        log.important("first", Fields.of());
+        blocked.await();
+        for (int i = 0; i < FLOOD; i++) {
+            log.routine("request-ended", Fields.of("request", i));
+        }
+        assertThat(log.dropped()).isGreaterThan((long) FLOOD * 9 / 10);
+    }
+
+    @Test
+    void failuresFindAPlaceWhenRoutineLinesAreDropped() throws InterruptedException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        JsonEventLog log = JsonEventLog.start(out, "vm-1");
+        for (int i = 0; i < FLOOD; i++) {
+            log.routine("request-ended", Fields.of("request", i));
+        }
+        log.important("request-failed", Fields.of("request", "x"));
+        log.close();
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("request-failed");
+    }
+
+    /** Never returns from a write. */
+    private static final class StuckStream extends OutputStream {
+        private final CountDownLatch blocked;
+        private final CountDownLatch never = new CountDownLatch(1);
+
+        StuckStream(CountDownLatch blocked) {
+            this.blocked = blocked;
+        }
+
+        @Override
+        public void write(int b) throws IOException {
+            blocked.countDown();
+            try {
+                never.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+        }
+    }
+}
