--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -35,8 +35,10 @@
     private static final long OUTAGE_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
     /** How long after it removals may stem from registrations that expired meanwhile. */
     private static final long OUTAGE_EFFECT_NANOS = TimeUnit.SECONDS.toNanos(3);
-    /** Pause before a configuration that could not be read is read again. */
+    /** Pause before a configuration that could not be read is read again; it doubles each time. */
     private static final long CONFIGURATION_PAUSE_MILLIS = 150;
+    /** Longest such pause, well under the time in which a change has to be in force. */
+    private static final long LONGEST_CONFIGURATION_PAUSE_MILLIS = 1200;
 
     private final EventLoop loop;
     private final CatalogReader reader;
@@ -49,6 +51,7 @@
     private Optional<MeshSocket> socket = Optional.empty();
     private boolean isReading;
     private boolean isReadingConfiguration;
+    private long configurationPauseMillis = CONFIGURATION_PAUSE_MILLIS;
     private boolean isPlatformLost;
     private boolean needsAll = true;
     private long wantedConfiguration;
@@ -243,19 +246,22 @@
             return;
         }
         isReadingConfiguration = true;
+        long pauseMillis = Math.min(LONGEST_CONFIGURATION_PAUSE_MILLIS, configurationPauseMillis);
         reader.readConfigurationCheaply(wantedConfiguration, this::takeConfiguration, () -> {
+            configurationPauseMillis = 2 * pauseMillis;
             loop.schedule(
                     () -> {
                         isReadingConfiguration = false;
                         wantConfiguration(wantedConfiguration);
                     },
-                    CONFIGURATION_PAUSE_MILLIS,
+                    pauseMillis,
                     TimeUnit.MILLISECONDS);
         });
     }
 
     private void takeConfiguration(FleetConfiguration configuration) {
         isReadingConfiguration = false;
+        configurationPauseMillis = CONFIGURATION_PAUSE_MILLIS;
         Catalog before = catalog;
         catalog = before.with(configuration);
         stateLog.configuration(before, catalog, "platform");
