--- a/coppershelf/src/main/java/io/coppershelf/dispatch/WeightedSplit.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/WeightedSplit.java
@@ -6,13 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 
 /**
  * Shares the requests of a route among its parts by their weights, with smooth weighted round robin. It starts at a
  * random point, so that many VMs with few requests each keep to the weights together. Not safe for several threads.
  */
 public final class WeightedSplit {
+    /** Routes that are remembered at most; beyond it all start anew, which costs one request's evenness each. */
+    private static final int MOST_TURNS = 4096;
+
     private final Random random;
     private final Map<String, Turn> turns = new HashMap<>();
 
@@ -29,17 +31,15 @@
         }
         Turn turn = turns.get(route.name());
         if (turn == null || !turn.parts.equals(parts)) {
+            if (turns.size() >= MOST_TURNS) {
+                turns.clear();
+            }
             turn = new Turn(parts, random);
             turns.put(route.name(), turn);
         }
         return turn.next();
     }
 
-    /** Forgets the routes that are not in force any more. */
-    public void retain(Set<String> routeNames) {
-        turns.keySet().retainAll(routeNames);
-    }
-
     private static final class Turn {
         private final List<RoutePart> parts;
         private final double[] credits;
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerPool.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerPool.java
@@ -33,7 +33,7 @@
             int maxConnections,
             Consumer<HttpLink> onOpen,
             Consumer<String> onFailure) {
-        ServerLinks links = linksByServer.computeIfAbsent(keyOf(server), key -> new ServerLinks());
+        ServerLinks links = linksByServer.computeIfAbsent(keyOf(server), key -> new ServerLinks(server.id()));
         Optional<HttpLink> idle = links.takeIdle(maxIdleNanos);
         if (idle.isPresent()) {
             onOpen.accept(idle.get());
@@ -63,7 +63,7 @@
         linksByServer.values().forEach(links -> links.closeUnusable(nowNanos));
         linksByServer.entrySet().removeIf(entry -> {
             ServerLinks links = entry.getValue();
-            return links.open == 0 && servers.server(idOf(entry.getKey())).isEmpty();
+            return links.open == 0 && servers.server(links.serverId).isEmpty();
         });
     }
 
@@ -71,14 +71,15 @@
         return server.id() + '@' + server.bornMillis() + '@' + server.address();
     }
 
-    private static String idOf(String key) {
-        return key.substring(0, key.indexOf('@'));
-    }
-
     private static final class ServerLinks {
         private final Deque<HttpLink> idle = new ArrayDeque<>();
+        private final String serverId;
         private int open;
 
+        ServerLinks(String serverId) {
+            this.serverId = serverId;
+        }
+
         Optional<HttpLink> takeIdle(long maxIdleNanos) {
             long now = System.nanoTime();
             HttpLink latest = idle.peekFirst();
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/CallerLimitsTest.java
@@ -0,0 +1,70 @@
+package io.coppershelf.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.coppershelf.testing.RawCaller;
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What callers may send, and how long they may take, over real sockets. */
+@Timeout(30)
+final class CallerLimitsTest {
+    private ProxyFixture proxy;
+
+    @BeforeEach
+    void start() throws IOException {
+        proxy = new ProxyFixture();
+    }
+
+    @AfterEach
+    void stop() {
+        proxy.close();
+    }
+
+    @Test
+    void oversizedHeadIsRefused() throws IOException {
+        proxy.serve();
+        try (RawCaller caller = proxy.connect()) {
+            caller.sendLossy("GET /safe/1 HTTP/1.1\nHost: host\nX: " + "x".repeat(5000) + "\n\n");
+            assertThat(caller.reply().status()).isEqualTo(431);
+        }
+    }
+
+    @Test
+    void oversizedBodyIsRefused() throws IOException {
+        proxy.serve();
+        try (RawCaller caller = proxy.connect()) {
+            caller.sendLossy("POST /once/1 HTTP/1.1\nHost: host\nContent-Length: 6000\n\n" + "x".repeat(6000));
+            assertThat(caller.reply().status()).isEqualTo(413);
+        }
+    }
+
+    @Test
+    void malformedRequestIsRefused() throws IOException {
+        proxy.serve();
+        try (RawCaller caller = proxy.connect()) {
+            caller.send("what is this\n\n");
+            assertThat(caller.reply().status()).isEqualTo(400);
+        }
+    }
+
+    @Test
+    void callerThatTakesTooLongForTheHeadIsRefusedAsNotRun() throws IOException {
+        proxy.serve();
+        try (RawCaller caller = proxy.connect()) {
+            caller.send("GET /safe/1 HTTP/1.1\nHost: ho");
+            assertThat(caller.reply().status()).isEqualTo(408);
+        }
+    }
+
+    @Test
+    void idleConnectionIsClosedAfterItsTime() throws IOException {
+        proxy.serve();
+        try (RawCaller caller = proxy.connect()) {
+            assertThat(caller.reply().head()).isEmpty();
+        }
+    }
+}
--- a/coppershelf/src/test/java/io/coppershelf/proxy/TrafficServerTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/TrafficServerTest.java
@@ -256,50 +256,6 @@
         assertThat(proxy.call("POST", "/once/1").status()).isEqualTo(503);
     }
 
-    @Test
-    void oversizedHeadIsRefused() throws IOException {
-        proxy.serve();
-        try (RawCaller caller = proxy.connect()) {
-            caller.sendLossy("GET /safe/1 HTTP/1.1\nHost: host\nX: " + "x".repeat(5000) + "\n\n");
-            assertThat(caller.reply().status()).isEqualTo(431);
-        }
-    }
-
-    @Test
-    void oversizedBodyIsRefused() throws IOException {
-        proxy.serve();
-        try (RawCaller caller = proxy.connect()) {
-            caller.sendLossy("POST /once/1 HTTP/1.1\nHost: host\nContent-Length: 6000\n\n" + "x".repeat(6000));
-            assertThat(caller.reply().status()).isEqualTo(413);
-        }
-    }
-
-    @Test
-    void malformedRequestIsRefused() throws IOException {
-        proxy.serve();
-        try (RawCaller caller = proxy.connect()) {
-            caller.send("what is this\n\n");
-            assertThat(caller.reply().status()).isEqualTo(400);
-        }
-    }
-
-    @Test
-    void callerThatTakesTooLongForTheHeadIsRefusedAsNotRun() throws IOException {
-        proxy.serve();
-        try (RawCaller caller = proxy.connect()) {
-            caller.send("GET /safe/1 HTTP/1.1\nHost: ho");
-            assertThat(caller.reply().status()).isEqualTo(408);
-        }
-    }
-
-    @Test
-    void idleConnectionIsClosedAfterItsTime() throws IOException {
-        proxy.serve();
-        try (RawCaller caller = proxy.connect()) {
-            assertThat(caller.reply().head()).isEmpty();
-        }
-    }
-
     @Test
     void stoppingVmServesRequestsAndClosesTheirConnections() throws IOException {
         try (FakeBackendServer server = answering(200)) {
