--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -87,6 +87,7 @@
             List<BackendServer> servers, RequestKind kind, boolean isLastChance, Set<String> excluded, long nowNanos) {
         List<BackendServer> due = spread.unused(servers, isLastChance, nowNanos).stream()
                 .filter(server -> !use(server).isPathAvoided(nowNanos))
+                .filter(server -> !beliefs.belief(keyOf(server), nowNanos).isSuspect(nowNanos))
                 .toList();
         Optional<BackendServer> forFloor = best(due, kind, isLastChance, excluded, nowNanos);
         return forFloor.isPresent() ? forFloor : best(servers, kind, isLastChance, excluded, nowNanos);
