--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServiceSpread.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServiceSpread.java
@@ -9,9 +9,10 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Keeps the floor of servers in use: while a service fails a noticeable share of its requests, nearly all of its
- * servers get some, so that wrong suspicions can't leave sound servers idle. Which server had a request last, and how
- * many failed, is counted over the whole fleet. One thread changes it; any thread reads.
+ * Keeps servers in use: while a service fails a noticeable share of its requests, nearly all of its servers are due for
+ * some, so that no sound server stays idle. The choice leaves out those that are suspected: work that is sent to them
+ * for the floor's sake fails and would keep the share of failures up. Which server had a request last, and how many
+ * failed, is counted over the whole fleet. One thread changes it; any thread reads.
  */
 public final class ServiceSpread {
     /** The share of the servers that stay in use; above the floor of seven tenths, as some of them may be down. */
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
@@ -19,8 +19,8 @@
 
     private final BeliefTable beliefs = new BeliefTable();
     private final FleetLoad fleetLoad = new FleetLoad();
-    private final ServerChooser chooser =
-            new ServerChooser("here", beliefs, fleetLoad, new ServiceSpread(), new Random(7));
+    private final ServiceSpread spread = new ServiceSpread();
+    private final ServerChooser chooser = new ServerChooser("here", beliefs, fleetLoad, spread, new Random(7));
     private final BackendServer near = Catalogs.server("near", "here");
     private final BackendServer far = Catalogs.server("far", "there");
 
@@ -76,6 +76,23 @@
         assertThat(chosen(RequestKind.REPEATABLE)).hasValue(near);
     }
 
+    @Test
+    void idleServerOfAFailingServiceIsUsed() {
+        trust(near);
+        trust(far);
+        failing(near);
+        assertThat(chosen(RequestKind.ONCE)).hasValue(far);
+    }
+
+    /** Pattern: a service fails much, and work sent to its sick servers for the floor's sake would fail as well. */
+    @Test
+    void suspectedServerIsNotUsedForTheFloorsSake() {
+        trust(near);
+        beliefs.observe(ServerChooser.keyOf(far), Observation.FAILURE, 0);
+        failing(near);
+        assertThat(chosen(RequestKind.ONCE)).hasValue(near);
+    }
+
     @Test
     void serverWithAFailedPathIsAvoidedForAWhile() {
         trust(near);
@@ -90,6 +107,15 @@
                 .isEmpty();
     }
 
+    private void failing(BackendServer server) {
+        for (int i = 0; i < 20; i++) {
+            spread.began(chooser.use(server).code(), 0);
+        }
+        for (int i = 0; i < 4; i++) {
+            spread.failed(chooser.use(server).code(), 0);
+        }
+    }
+
     private void trust(BackendServer server) {
         for (int i = 0; i < 10; i++) {
             beliefs.observe(ServerChooser.keyOf(server), Observation.SUCCESS, 0);
