Ask another VM when the platform refuses this one

Cause: a VM that started while the platform was away or refused it got no configuration and served nobody, although its peers had one in force; a configuration that was announced while the platform refused a VM stayed out of force there until the platform came back. Ruled out: sending configurations in datagrams with the news; one has no bound that fits a datagram.

A VM that says of itself that it started anew is believed although its clock was set back. An empty line after a request no longer starts the timer of a head (the caller got 408 on an idle connection).

--- a/coppershelf/src/main/java/io/coppershelf/catalog/CatalogChange.java
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/CatalogChange.java
@@ -27,6 +27,11 @@
         removed = Set.copyOf(removed);
     }
 
+    /** Returns a complete reading with that result. */
+    public static CatalogChange complete(ServerList servers, Optional<FleetConfiguration> configuration) {
+        return new CatalogChange(0, servers.revision(), configuration, List.copyOf(servers.all()), Set.of());
+    }
+
     /** Returns whether the change can be applied to a list of that revision without a gap. */
     public boolean follows(long listRevision) {
         return since == 0 || listRevision >= since;
--- a/coppershelf/src/main/java/io/coppershelf/catalog/RouteTable.java
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/RouteTable.java
@@ -28,6 +28,13 @@
         return new RouteTable(byHost, routes.size());
     }
 
+    /** Returns all routes. */
+    public Collection<Route> all() {
+        return routesByHost.values().stream()
+                .flatMap(routes -> routes.values().stream())
+                .toList();
+    }
+
     /** Returns the number of routes. */
     public int size() {
         return size;
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -15,11 +15,9 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 
 /**
  * The control state of this VM: catalog, beliefs and membership. Changed by the control thread alone; what the traffic
@@ -35,10 +33,6 @@
     private static final long OUTAGE_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
     /** How long after it removals may stem from registrations that expired meanwhile. */
     private static final long OUTAGE_EFFECT_NANOS = TimeUnit.SECONDS.toNanos(3);
-    /** Pause before a configuration that could not be read is read again; it doubles each time. */
-    private static final long CONFIGURATION_PAUSE_MILLIS = 150;
-    /** Longest such pause, well under the time in which a change has to be in force. */
-    private static final long LONGEST_CONFIGURATION_PAUSE_MILLIS = 1200;
 
     private final EventLoop loop;
     private final CatalogReader reader;
@@ -48,15 +42,15 @@
     private final ReadingSchedule schedule;
     private final EventLog log;
     private final StateLog stateLog;
+    private final RemovalGrace grace = new RemovalGrace();
+    private final PeerCatalog peers;
+    private final ConfigurationFetch configurationFetch;
     private Optional<MeshSocket> socket = Optional.empty();
     private boolean isReading;
-    private boolean isReadingConfiguration;
-    private long configurationPauseMillis = CONFIGURATION_PAUSE_MILLIS;
+    private boolean isAskingPeer;
     private boolean isPlatformLost;
     private boolean needsAll = true;
-    private long wantedConfiguration;
     private long ticks;
-    private final RemovalGrace grace = new RemovalGrace();
     private ServerList registered = ServerList.EMPTY;
     private long outageNanos;
     private boolean hadOutage;
@@ -79,11 +73,20 @@
         schedule = new ReadingSchedule(random);
         this.log = log;
         stateLog = new StateLog(log);
+        peers = new SnapshotClient(loop, () -> membership.randomLive(now()));
+        configurationFetch = new ConfigurationFetch(
+                reader,
+                peers,
+                (millis, action) -> loop.schedule(action, millis, TimeUnit.MILLISECONDS),
+                this::configurationRevision,
+                this::takeConfiguration,
+                log);
     }
 
     /** Starts to read the platform and to talk to peers. */
     public void start(InetSocketAddress address) {
         socket = Optional.of(MeshSocket.open(loop, address, this::received, log));
+        SnapshotServer.listen(loop, address, this::snapshot, log);
         loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -207,16 +210,10 @@
     }
 
     private void takeNews(MeshMessage.CatalogNews news) {
-        wantConfiguration(news.configurationRevision());
+        configurationFetch.want(news.configurationRevision());
         long known = registered.revision();
-        CatalogChange change = new CatalogChange(
-                news.since(),
-                news.revision(),
-                Optional.empty(),
-                news.changed(),
-                news.removed().stream().collect(Collectors.toSet()));
-        boolean isGap = needsAll || known < news.since();
-        if (isGap) {
+        CatalogChange change = news.change();
+        if (needsAll || !change.follows(known)) {
             return;
         }
         if (known < news.revision()) {
@@ -240,32 +237,38 @@
         evidence.retain(after.servers());
     }
 
-    private void wantConfiguration(long revision) {
-        wantedConfiguration = Math.max(wantedConfiguration, revision);
-        if (isReadingConfiguration || configurationRevision() >= wantedConfiguration) {
+    private void takeConfiguration(FleetConfiguration configuration) {
+        Catalog before = catalog;
+        catalog = before.with(configuration);
+        stateLog.configuration(before, catalog, "announcement");
+    }
+
+    /** Asks another VM for everything, after the platform could not be read completely. */
+    private void askPeer() {
+        if (isAskingPeer) {
             return;
         }
-        isReadingConfiguration = true;
-        long pauseMillis = Math.min(LONGEST_CONFIGURATION_PAUSE_MILLIS, configurationPauseMillis);
-        reader.readConfigurationCheaply(wantedConfiguration, this::takeConfiguration, () -> {
-            configurationPauseMillis = 2 * pauseMillis;
-            loop.schedule(
-                    () -> {
-                        isReadingConfiguration = false;
-                        wantConfiguration(wantedConfiguration);
-                    },
-                    pauseMillis,
-                    TimeUnit.MILLISECONDS);
+        isAskingPeer = true;
+        peers.fetch(this::takeSnapshot, reason -> {
+            isAskingPeer = false;
+            log.routine("peer-not-read", Fields.of("reason", reason));
         });
     }
 
-    private void takeConfiguration(FleetConfiguration configuration) {
-        isReadingConfiguration = false;
-        configurationPauseMillis = CONFIGURATION_PAUSE_MILLIS;
-        Catalog before = catalog;
-        catalog = before.with(configuration);
-        stateLog.configuration(before, catalog, "platform");
-        wantConfiguration(wantedConfiguration);
+    private void takeSnapshot(Snapshot snapshot) {
+        isAskingPeer = false;
+        if (needsAll && snapshot.content().revision() >= registered.revision()) {
+            needsAll = false;
+            publish(snapshot.content(), "peer");
+            configurationFetch.want(snapshot.announcedConfiguration());
+        }
+    }
+
+    private Optional<Snapshot> snapshot() {
+        return catalog.isServing()
+                ? Optional.of(new Snapshot(
+                        configurationFetch.wanted(), CatalogChange.complete(registered, catalog.configuration())))
+                : Optional.empty();
     }
 
     private long configurationRevision() {
@@ -316,6 +319,9 @@
                 log.important("platform-lost", Fields.of("reason", reason));
             }
             schedule.failed(now());
+            if (needsAll) {
+                askPeer();
+            }
         }
 
         /** Tells the fleet what matters for routing, and that the rest is unchanged. */
@@ -323,18 +329,7 @@
             if (change.since() == 0) {
                 return;
             }
-            List<BackendServer> changed = change.changed().stream()
-                    .filter(server -> before.server(server.id())
-                            .filter(known -> known.isSameForRouting(server))
-                            .isEmpty())
-                    .toList();
-            MeshMessage.CatalogNews news = new MeshMessage.CatalogNews(
-                    change.since(),
-                    change.revision(),
-                    configurationRevision(),
-                    0,
-                    changed,
-                    List.copyOf(change.removed()));
+            MeshMessage.CatalogNews news = MeshMessage.CatalogNews.of(before, change, configurationRevision());
             socket.ifPresent(open -> open.send(membership.live(now()), news));
         }
     }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
@@ -54,15 +54,23 @@
         isLeaving = true;
     }
 
-    /** Takes in what another VM says. Returns whether a VM was heard of that was not known or counted as gone. */
+    /**
+     * Takes in what another VM says. What it says of itself holds even if it seems older: a VM whose clock was set back
+     * starts again with a lower incarnation.
+     *
+     * @param entries the VM that speaks first, then others
+     * @return whether a VM was heard of that was not known or counted as gone
+     */
     public boolean heard(List<MemberEntry> entries, long nowNanos) {
         boolean hasNew = false;
-        for (MemberEntry entry : entries) {
+        for (int i = 0; i < entries.size(); i++) {
+            MemberEntry entry = entries.get(i);
             if (entry.address().equals(self)) {
                 continue;
             }
             Member known = members.get(entry.address());
-            if (known == null || entry.isNewerThan(known.entry)) {
+            boolean isOtherStart = i == 0 && known != null && entry.incarnation() != known.entry.incarnation();
+            if (known == null || isOtherStart || entry.isNewerThan(known.entry)) {
                 hasNew |= known == null || known.isGone(nowNanos);
                 members.put(entry.address(), new Member(entry, nowNanos));
             }
@@ -109,6 +117,12 @@
                 .toList();
     }
 
+    /** Returns one of the other VMs that count as live, chosen at random. */
+    public Optional<InetSocketAddress> randomLive(long nowNanos) {
+        List<InetSocketAddress> live = live(nowNanos);
+        return live.isEmpty() ? Optional.empty() : Optional.of(live.get(random.nextInt(live.size())));
+    }
+
     /**
      * Returns the number of VMs among which shares of limits are divided: those that were live of late, with this one.
      * A VM that has just started knows only some of them and assumes a large fleet.
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -104,7 +104,7 @@
                 readAddress(unpacker), unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackBoolean());
     }
 
-    private static void writeServer(MessagePacker packer, BackendServer server) throws IOException {
+    static void writeServer(MessagePacker packer, BackendServer server) throws IOException {
         packer.packString(server.id());
         packer.packLong(server.bornMillis());
         packer.packString(server.service());
@@ -115,7 +115,7 @@
         packer.packLong(server.coldMillis());
     }
 
-    private static BackendServer readServer(MessageUnpacker unpacker) throws IOException {
+    static BackendServer readServer(MessageUnpacker unpacker) throws IOException {
         return new BackendServer(
                 unpacker.unpackString(),
                 unpacker.unpackLong(),
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -2,7 +2,11 @@
 
 import io.coppershelf.belief.Observation;
 import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.CatalogChange;
+import io.coppershelf.catalog.ServerList;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 
 /** A message between VMs of the fleet. */
 public sealed interface MeshMessage {
@@ -46,5 +50,30 @@
             int ageMillis,
             List<BackendServer> changed,
             List<String> removed)
-            implements MeshMessage {}
+            implements MeshMessage {
+        /**
+         * Returns what the fleet needs to hear of a reading: what matters for routing, and that the rest is unchanged.
+         *
+         * @param before the list that the change was applied to
+         */
+        static CatalogNews of(ServerList before, CatalogChange change, long configurationRevision) {
+            List<BackendServer> changed = change.changed().stream()
+                    .filter(server -> before.server(server.id())
+                            .filter(known -> known.isSameForRouting(server))
+                            .isEmpty())
+                    .toList();
+            return new CatalogNews(
+                    change.since(),
+                    change.revision(),
+                    configurationRevision,
+                    0,
+                    changed,
+                    List.copyOf(change.removed()));
+        }
+
+        /** Returns the change of the list of servers. */
+        CatalogChange change() {
+            return new CatalogChange(since, revision, Optional.empty(), changed, Set.copyOf(removed));
+        }
+    }
 }
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/SnapshotCodec.java
@@ -0,0 +1,138 @@
+package io.coppershelf.mesh;
+
+import io.coppershelf.catalog.CallerLimits;
+import io.coppershelf.catalog.CatalogChange;
+import io.coppershelf.catalog.FleetConfiguration;
+import io.coppershelf.catalog.RequestKind;
+import io.coppershelf.catalog.Route;
+import io.coppershelf.catalog.RoutePart;
+import io.coppershelf.catalog.RouteTable;
+import io.coppershelf.peer.MessageFields;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads snapshots. */
+final class SnapshotCodec {
+    private static final int VERSION = 1;
+
+    private SnapshotCodec() {}
+
+    /** Writes what is in force, or that nothing is. */
+    static byte[] encode(Optional<Snapshot> snapshot) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(VERSION);
+            MessageFields.writeOptional(packer, snapshot, SnapshotCodec::writeSnapshot);
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Reads a snapshot, empty if nothing is in force there.
+     *
+     * @throws IOException if the bytes are not a snapshot of this version
+     */
+    static Optional<Snapshot> decode(byte[] bytes) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            int version = unpacker.unpackInt();
+            if (version != VERSION) {
+                throw new IOException("expected snapshot version " + VERSION + " but got " + version);
+            }
+            return MessageFields.readOptional(unpacker, SnapshotCodec::readSnapshot);
+        } catch (RuntimeException e) {
+            throw new IOException("not a snapshot", e);
+        }
+    }
+
+    private static void writeSnapshot(MessagePacker packer, Snapshot snapshot) throws IOException {
+        packer.packLong(snapshot.announcedConfiguration());
+        packer.packLong(snapshot.content().revision());
+        MessageFields.writeList(packer, snapshot.content().changed(), MeshCodec::writeServer);
+        MessageFields.writeOptional(packer, snapshot.content().configuration(), SnapshotCodec::writeConfiguration);
+    }
+
+    private static Snapshot readSnapshot(MessageUnpacker unpacker) throws IOException {
+        long announced = unpacker.unpackLong();
+        long revision = unpacker.unpackLong();
+        var servers = MessageFields.readList(unpacker, MeshCodec::readServer);
+        Optional<FleetConfiguration> configuration =
+                MessageFields.readOptional(unpacker, SnapshotCodec::readConfiguration);
+        return new Snapshot(announced, new CatalogChange(0, revision, configuration, servers, Set.of()));
+    }
+
+    private static void writeConfiguration(MessagePacker packer, FleetConfiguration configuration) throws IOException {
+        packer.packLong(configuration.revision());
+        packer.packLong(configuration.version());
+        MessageFields.writeList(packer, configuration.routes().all(), SnapshotCodec::writeRoute);
+        packer.packMapHeader(configuration.connectionCaps().size());
+        for (Map.Entry<String, Integer> cap : configuration.connectionCaps().entrySet()) {
+            packer.packString(cap.getKey());
+            packer.packInt(cap.getValue());
+        }
+        CallerLimits limits = configuration.limits();
+        packer.packInt(limits.headBytes());
+        packer.packLong(limits.bodyBytes());
+        writeDuration(packer, limits.headTimeout());
+        writeDuration(packer, limits.idleTimeout());
+    }
+
+    private static FleetConfiguration readConfiguration(MessageUnpacker unpacker) throws IOException {
+        long revision = unpacker.unpackLong();
+        long version = unpacker.unpackLong();
+        List<Route> routes = MessageFields.readList(unpacker, SnapshotCodec::readRoute);
+        Map<String, Integer> caps = new HashMap<>();
+        for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+            caps.put(unpacker.unpackString(), unpacker.unpackInt());
+        }
+        CallerLimits limits = new CallerLimits(
+                unpacker.unpackInt(), unpacker.unpackLong(), readDuration(unpacker), readDuration(unpacker));
+        return new FleetConfiguration(revision, version, RouteTable.of(routes), caps, limits);
+    }
+
+    private static void writeRoute(MessagePacker packer, Route route) throws IOException {
+        packer.packString(route.name());
+        packer.packString(route.host());
+        packer.packString(route.pathPrefix());
+        packer.packString(route.kind().name());
+        writeDuration(packer, route.timeout());
+        writeDuration(packer, route.objective());
+        packer.packInt(route.rank());
+        packer.packInt(route.maxServers());
+        MessageFields.writeList(packer, route.parts(), (p, part) -> {
+            p.packString(part.service());
+            p.packDouble(part.weight());
+        });
+    }
+
+    private static Route readRoute(MessageUnpacker unpacker) throws IOException {
+        return new Route(
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                RequestKind.valueOf(unpacker.unpackString()),
+                readDuration(unpacker),
+                readDuration(unpacker),
+                unpacker.unpackInt(),
+                unpacker.unpackInt(),
+                MessageFields.readList(unpacker, u -> new RoutePart(u.unpackString(), u.unpackDouble())));
+    }
+
+    private static void writeDuration(MessagePacker packer, Duration duration) throws IOException {
+        packer.packLong(duration.toNanos());
+    }
+
+    private static Duration readDuration(MessageUnpacker unpacker) throws IOException {
+        return Duration.ofNanos(unpacker.unpackLong());
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/SnapshotServer.java
@@ -0,0 +1,82 @@
+package io.coppershelf.mesh;
+
+import io.coppershelf.eventlog.EventLog;
+import io.coppershelf.eventlog.Fields;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Tells other VMs what is in force here: whoever connects to the control port over TCP gets one frame, then the
+ * connection is closed. Runs on the control thread.
+ */
+@ChannelHandler.Sharable
+final class SnapshotServer extends ChannelInboundHandlerAdapter {
+    /** Length of the number of bytes in front of a frame, in bytes. */
+    static final int LENGTH_BYTES = 4;
+    /** Readers at a time; further ones ask another VM. Bounds the memory for frames that are still being sent. */
+    private static final int MAX_READERS = 4;
+    /** Time after which a reader that has not taken its frame is cut off; longer than it waits itself. */
+    private static final long READER_LIMIT_MILLIS = 3000;
+
+    private final Supplier<Optional<Snapshot>> inForce;
+    private final EventLog log;
+    private int readers;
+
+    private SnapshotServer(Supplier<Optional<Snapshot>> inForce, EventLog log) {
+        this.inForce = inForce;
+        this.log = log;
+    }
+
+    /** Begins to listen; a VM that can't be asked still serves callers. */
+    static void listen(EventLoop loop, InetSocketAddress address, Supplier<Optional<Snapshot>> inForce, EventLog log) {
+        new ServerBootstrap()
+                .group(loop, loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                .childHandler(new SnapshotServer(inForce, log))
+                .bind(address)
+                .addListener(bound -> {
+                    if (!bound.isSuccess()) {
+                        log.important("snapshots-not-served", Fields.of("address", address, "reason", bound.cause()));
+                    }
+                });
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        readers++;
+        if (readers > MAX_READERS) {
+            context.close();
+            return;
+        }
+        context.pipeline().addFirst(new LengthFieldPrepender(LENGTH_BYTES));
+        context.channel().eventLoop().schedule(() -> context.close(), READER_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+        context.writeAndFlush(Unpooled.wrappedBuffer(SnapshotCodec.encode(inForce.get())))
+                .addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        readers--;
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        log.important("snapshot-not-sent", Fields.of("reader", context.channel().remoteAddress(), "reason", cause));
+        context.close();
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -12,6 +12,7 @@
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.http.HttpConnector;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -24,6 +25,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.ByteProcessor;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -121,7 +123,10 @@
         context.chooser().retain(catalog.servers());
     }
 
-    /** Tells the connection that bytes have arrived, before they are decoded. */
+    /**
+     * Tells the connection that bytes have arrived, before they are decoded. Empty lines do not count: some callers
+     * send one after a body.
+     */
     private static final class ByteNotice extends ChannelInboundHandlerAdapter {
         private final CallerConnection connection;
 
@@ -131,7 +136,9 @@
 
         @Override
         public void channelRead(ChannelHandlerContext handlerContext, Object message) {
-            connection.bytesArrived();
+            if (((ByteBuf) message).forEachByte(ByteProcessor.FIND_NON_CRLF) >= 0) {
+                connection.bytesArrived();
+            }
             handlerContext.fireChannelRead(message);
         }
     }
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
@@ -0,0 +1,144 @@
+package io.coppershelf.mesh;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.coppershelf.catalog.CatalogChange;
+import io.coppershelf.catalog.CatalogReader;
+import io.coppershelf.catalog.FleetConfiguration;
+import io.coppershelf.eventlog.EventLog;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Two VMs on the loopback interface, one of which the platform refuses. */
+final class FleetStateTest {
+    private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
+    private static final long POLL_MILLIS = 20;
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final InetSocketAddress first = freeAddress();
+    private final InetSocketAddress second = freeAddress();
+
+    @AfterEach
+    void stop() {
+        loops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void vmThatStartsWhileThePlatformRefusesItServesWhatTheOthersHaveInForce() throws InterruptedException {
+        FakePlatform answering = new FakePlatform(Optional.of(Snapshots.of(7)));
+        FleetState known = start(first, answering);
+        await(known::isReady);
+        FleetState refused = start(second, new FakePlatform(Optional.empty()));
+        await(refused::isReady);
+        assertThat(revision(refused)).isEqualTo(7);
+        assertThat(refused.catalog().servers().revision()).isEqualTo(7);
+    }
+
+    @Test
+    void newConfigurationReachesAVmThatThePlatformRefuses() throws InterruptedException {
+        FakePlatform answering = new FakePlatform(Optional.of(Snapshots.of(7)));
+        FleetState known = start(first, answering);
+        FleetState refused = start(second, new FakePlatform(Optional.empty()));
+        await(refused::isReady);
+        answering.snapshot = Optional.of(Snapshots.of(9));
+        await(() -> revision(known) == 9);
+        await(() -> revision(refused) == 9);
+    }
+
+    @Test
+    void vmsThatKnowNothingAreNotReady() throws InterruptedException {
+        FleetState one = start(first, new FakePlatform(Optional.empty()));
+        FleetState other = start(second, new FakePlatform(Optional.empty()));
+        TimeUnit.SECONDS.sleep(2);
+        assertThat(one.isReady()).isFalse();
+        assertThat(other.isReady()).isFalse();
+    }
+
+    @Test
+    void connectionsThatNeverReadDoNotKeepOthersFromASnapshot() throws Exception {
+        FleetState known = start(first, new FakePlatform(Optional.of(Snapshots.of(7))));
+        await(known::isReady);
+        for (int i = 0; i < 10; i++) {
+            Socket idle = new Socket(first.getAddress(), first.getPort());
+            idle.setSoTimeout(1);
+        }
+        FleetState refused = start(second, new FakePlatform(Optional.empty()));
+        await(refused::isReady);
+    }
+
+    private FleetState start(InetSocketAddress address, CatalogReader platform) {
+        Random random = new Random(1);
+        Membership membership = new Membership(address, 1, List.of(first, second), random, System.nanoTime());
+        FleetState state =
+                new FleetState(loops.next(), platform, FleetEvidence.create(), membership, random, EventLog.NONE);
+        state.start(address);
+        return state;
+    }
+
+    private static long revision(FleetState state) {
+        return state.catalog().configuration().map(FleetConfiguration::revision).orElse(0L);
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long startNanos = System.nanoTime();
+        while (!condition.getAsBoolean()) {
+            assertThat(System.nanoTime() - startNanos).isLessThan(LIMIT_NANOS);
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+    }
+
+    private static InetSocketAddress freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        } catch (IOException e) {
+            throw new IllegalStateException("no free port", e);
+        }
+    }
+
+    /** A platform that has one state of everything, or refuses. */
+    private static final class FakePlatform implements CatalogReader {
+        private volatile Optional<Snapshot> snapshot;
+
+        FakePlatform(Optional<Snapshot> snapshot) {
+            this.snapshot = snapshot;
+        }
+
+        @Override
+        public void readAll(Listener listener) {
+            snapshot.ifPresentOrElse(
+                    current -> listener.read(current.content()), () -> listener.failed(Failure.UNAVAILABLE, "refused"));
+        }
+
+        @Override
+        public void readChanges(long revision, Duration wait, Listener listener) {
+            snapshot.ifPresentOrElse(
+                    current -> listener.read(new CatalogChange(
+                            revision,
+                            current.content().revision(),
+                            current.content().configuration(),
+                            List.of(),
+                            current.content().removed())),
+                    () -> listener.failed(Failure.UNAVAILABLE, "refused"));
+        }
+
+        @Override
+        public void readConfigurationCheaply(long revision, Consumer<FleetConfiguration> onRead, Runnable onFailure) {
+            snapshot.flatMap(current -> current.content().configuration()).ifPresentOrElse(onRead, onFailure);
+        }
+    }
+}
--- a/coppershelf/src/test/java/io/coppershelf/mesh/MembershipTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MembershipTest.java
@@ -52,6 +52,16 @@
         assertThat(vm.fleetSize(Membership.JOINING_NANOS)).isEqualTo(1);
     }
 
+    @Test
+    void vmWhoseClockWasSetBackBeforeItsRestartIsHeard() {
+        InetSocketAddress restarted = address(2);
+        Membership vm = new Membership(address(1), 1, List.of(), new Random(1), 0);
+        vm.heard(List.of(new MemberEntry(restarted, 60_000, 900, true)), 0);
+        assertThat(vm.heard(List.of(new MemberEntry(restarted, 1, 1, false)), Membership.GONE_NANOS + SECOND))
+                .isTrue();
+        assertThat(vm.live(Membership.GONE_NANOS + SECOND)).containsExactly(restarted);
+    }
+
     @Test
     void allVmsAgreeOnTheirOrder() {
         List<Membership> fleet = fleet(12, 3);
--- a/coppershelf/src/test/java/io/coppershelf/proxy/CallerLimitsTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/CallerLimitsTest.java
@@ -60,6 +60,17 @@
         }
     }
 
+    @Test
+    void emptyLineAfterARequestBeginsNoHead() throws IOException {
+        proxy.serve();
+        try (RawCaller caller = proxy.connect()) {
+            caller.send(ProxyFixture.request("GET", "/unknown/", 3000));
+            assertThat(caller.reply().status()).isEqualTo(404);
+            caller.send("\r\n");
+            assertThat(caller.reply().head()).isEmpty();
+        }
+    }
+
     @Test
     void idleConnectionIsClosedAfterItsTime() throws IOException {
         proxy.serve();
