Add a fault soak of the gateway processes, and count readings of the platform

Change: module soak (test files only): four gateways as processes, servers and callers in the soak, TCP proxies that delay, reset, silence or pass one way, signals, a store that refuses, cuts, hangs and forgets, configurations in quick succession. Faults come from a seed, in series and overlapping. A metric counts readings of the platform by kind and outcome. Clock steps are not injected: the gateway decides by the monotonic clock; the time of day stands in log lines and in the incarnation of a VM, which has a test of its own.

--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -64,8 +64,9 @@
         FleetEvidence evidence = FleetEvidence.create();
         Membership membership = new Membership(
                 settings.meshAddress(), System.currentTimeMillis(), settings.seeds(), random, System.nanoTime());
-        FleetState state = new FleetState(control, readers.apply(control), evidence, membership, random, log);
         PrometheusRegistry registry = new PrometheusRegistry();
+        CatalogReader reader = new MeasuredReader(readers.apply(control), registry);
+        FleetState state = new FleetState(control, reader, evidence, membership, random, log);
         RetryBudget budget =
                 new RetryBudget(settings.retryRatio(), settings.retriesPerWindow(), settings.retryWindow());
         TrafficServer traffic = new TrafficServer(
--- /dev/null
+++ b/soak/src/test/java/io/coppershelf/soak/FaultInjector.java
@@ -0,0 +1,224 @@
+package io.coppershelf.soak;
+
+import io.coppershelf.adapter.StoreStandIn.Fault;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Carries out the faults of a plan, each on a thread of its own, so that they overlap. */
+final class FaultInjector {
+    private static final int STORM_CHANGES = 8;
+    private static final long STORM_PAUSE_MILLIS = 120;
+    /** Faults leave at least this many servers of the fleet without one at a time. */
+    private static final int SPARED_SERVERS = 4;
+
+    private final SoakWorld world;
+    private final List<GatewayProcess> fleet;
+    private final List<FaultyLink> storeLinks;
+    private final List<Object> busy = new ArrayList<>();
+
+    FaultInjector(SoakWorld world, List<GatewayProcess> fleet, List<FaultyLink> storeLinks) {
+        this.world = world;
+        this.fleet = fleet;
+        this.storeLinks = storeLinks;
+    }
+
+    /** Runs the plan and returns when all of its faults are over. */
+    void run(List<FaultStep> plan) throws InterruptedException {
+        long startNanos = System.nanoTime();
+        List<Thread> threads = new ArrayList<>();
+        for (FaultStep step : plan) {
+            long due = startNanos + TimeUnit.MILLISECONDS.toNanos(step.atMillis()) - System.nanoTime();
+            TimeUnit.NANOSECONDS.sleep(Math.max(0, due));
+            Thread thread = new Thread(() -> strike(step), "fault-" + step.kind());
+            thread.start();
+            threads.add(thread);
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    private void strike(FaultStep step) {
+        try {
+            switch (step.kind()) {
+                case KILL_VM, PAUSE_VM, STOP_VM, RELOAD_VM -> strikeVm(step, fleet.get(step.index() % fleet.size()));
+                case KILL_ALL_VMS -> killAll(step);
+                case STORE_REFUSES -> strikeStore(step, Fault.REFUSES);
+                case STORE_SILENT -> strikeStore(step, Fault.SILENT);
+                case STORE_CUTS -> strikeStore(step, Fault.CUTS);
+                case STORE_FORGETS -> world.store().compact();
+                case STORE_LINK_SILENT -> strikeStoreLink(step, FaultyLink.Mode.SILENT);
+                case STORE_LINK_RESETS -> strikeStoreLink(step, FaultyLink.Mode.RESETS);
+                case CONFIGURATION -> world.publish();
+                case CONFIGURATION_STORM -> storm();
+                default -> strikeServer(step);
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("could not carry out " + step, e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void strikeVm(FaultStep step, GatewayProcess vm) throws IOException, InterruptedException {
+        if (step.kind() == FaultStep.Kind.RELOAD_VM) {
+            if (take(vm)) {
+                vm.signal("HUP");
+                release(vm);
+            }
+            return;
+        }
+        if (!take(vm)) {
+            return;
+        }
+        String part = step.kind() == FaultStep.Kind.STOP_VM ? PromiseChecker.stopOf(vm.name()) : vm.name();
+        world.disturbances().begin(part, System.nanoTime());
+        switch (step.kind()) {
+            case PAUSE_VM -> {
+                vm.signal("STOP");
+                TimeUnit.MILLISECONDS.sleep(step.forMillis());
+                vm.signal("CONT");
+            }
+            case KILL_VM -> {
+                vm.kill();
+                vm.start();
+            }
+            default -> {
+                if (!vm.stop()) {
+                    world.saw(new Sighting.StoppedLate(vm.name()));
+                }
+                vm.start();
+            }
+        }
+        awaitListening(vm);
+        world.disturbances().end(part, System.nanoTime());
+        release(vm);
+    }
+
+    private void killAll(FaultStep step) throws IOException, InterruptedException {
+        List<GatewayProcess> struck = new ArrayList<>();
+        for (GatewayProcess vm : fleet) {
+            if (take(vm)) {
+                world.disturbances().begin(vm.name(), System.nanoTime());
+                vm.kill();
+                struck.add(vm);
+            }
+        }
+        TimeUnit.MILLISECONDS.sleep(step.forMillis() / 2);
+        for (GatewayProcess vm : struck) {
+            vm.start();
+        }
+        for (GatewayProcess vm : struck) {
+            awaitListening(vm);
+            world.disturbances().end(vm.name(), System.nanoTime());
+            release(vm);
+        }
+    }
+
+    private static void awaitListening(GatewayProcess vm) throws InterruptedException {
+        for (int tries = 0; tries < 100; tries++) {
+            try {
+                new CallerSocket(vm.callers()).close();
+                return;
+            } catch (IOException e) {
+                TimeUnit.MILLISECONDS.sleep(50);
+            }
+        }
+        throw new IllegalStateException(vm.name() + " does not listen after its start");
+    }
+
+    private void strikeStore(FaultStep step, Fault fault) throws InterruptedException {
+        if (!take(world.store())) {
+            return;
+        }
+        world.disturbances().begin(Disturbances.STORE, System.nanoTime());
+        world.store().misbehave(fault);
+        TimeUnit.MILLISECONDS.sleep(step.forMillis());
+        world.store().misbehave(Fault.NONE);
+        world.disturbances().end(Disturbances.STORE, System.nanoTime());
+        release(world.store());
+    }
+
+    /** Cuts some VMs off from the store; the others tell them. */
+    private void strikeStoreLink(FaultStep step, FaultyLink.Mode mode) throws InterruptedException {
+        int index = step.index() % storeLinks.size();
+        FaultyLink link = storeLinks.get(index);
+        if (!take(link)) {
+            return;
+        }
+        String part = fleet.get(index).name();
+        world.disturbances().begin(part, System.nanoTime());
+        link.mode(mode);
+        TimeUnit.MILLISECONDS.sleep(step.forMillis());
+        link.mode(FaultyLink.Mode.OPEN);
+        world.disturbances().end(part, System.nanoTime());
+        release(link);
+    }
+
+    private void strikeServer(FaultStep step) throws IOException, InterruptedException {
+        List<ServerStandIn> servers = world.servers();
+        ServerStandIn server = servers.get(step.index() % servers.size());
+        if (!takeServer(server, servers.size())) {
+            return;
+        }
+        world.disturbances().begin(Disturbances.SERVERS, System.nanoTime());
+        switch (step.kind()) {
+            case SERVER_GRAY -> during(step, server, ServerStandIn.Mood.GRAY);
+            case SERVER_SLOW -> during(step, server, ServerStandIn.Mood.SLOW);
+            case SERVER_LINK_DELAYED -> during(step, server, FaultyLink.Mode.DELAYED);
+            case SERVER_LINK_RESETS -> during(step, server, FaultyLink.Mode.RESETS);
+            case SERVER_LINK_SILENT -> during(step, server, FaultyLink.Mode.SILENT);
+            case SERVER_LINK_ONE_WAY -> during(step, server, FaultyLink.Mode.ONE_WAY);
+            case SERVER_REPLACED -> world.replace(server);
+            case ADDRESS_REUSED -> {
+                world.crash(server);
+                TimeUnit.MILLISECONDS.sleep(step.forMillis());
+                world.reuseAddress(server);
+                world.addServer(server.service());
+            }
+            default -> {
+                world.crash(server);
+                TimeUnit.MILLISECONDS.sleep(step.forMillis());
+                world.addServer(server.service());
+            }
+        }
+        world.disturbances().end(Disturbances.SERVERS, System.nanoTime());
+        release(server);
+    }
+
+    private static void during(FaultStep step, ServerStandIn server, ServerStandIn.Mood mood)
+            throws InterruptedException {
+        server.mood(mood);
+        TimeUnit.MILLISECONDS.sleep(step.forMillis());
+        server.mood(ServerStandIn.Mood.WELL);
+    }
+
+    private static void during(FaultStep step, ServerStandIn server, FaultyLink.Mode mode) throws InterruptedException {
+        server.link().mode(mode);
+        TimeUnit.MILLISECONDS.sleep(step.forMillis());
+        server.link().mode(FaultyLink.Mode.OPEN);
+    }
+
+    private void storm() throws InterruptedException {
+        for (int i = 0; i < STORM_CHANGES; i++) {
+            world.publish();
+            TimeUnit.MILLISECONDS.sleep(STORM_PAUSE_MILLIS);
+        }
+    }
+
+    private synchronized boolean takeServer(ServerStandIn server, int running) {
+        long struck = busy.stream().filter(ServerStandIn.class::isInstance).count();
+        return struck < running - SPARED_SERVERS && take(server);
+    }
+
+    /** Claims a part for one fault at a time. */
+    private synchronized boolean take(Object part) {
+        return !busy.contains(part) && busy.add(part);
+    }
+
+    private synchronized void release(Object part) {
+        busy.remove(part);
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/io/coppershelf/soak/FaultStep.java
@@ -0,0 +1,36 @@
+package io.coppershelf.soak;
+
+/**
+ * A fault of a plan.
+ *
+ * @param atMillis when it begins, from the start of the faults
+ * @param forMillis how long it lasts, where it lasts
+ * @param index the VM or server that it strikes
+ */
+record FaultStep(Kind kind, int atMillis, int forMillis, int index) {
+    /** What happens. */
+    enum Kind {
+        KILL_VM,
+        PAUSE_VM,
+        STOP_VM,
+        RELOAD_VM,
+        KILL_ALL_VMS,
+        STORE_REFUSES,
+        STORE_SILENT,
+        STORE_CUTS,
+        STORE_FORGETS,
+        STORE_LINK_SILENT,
+        STORE_LINK_RESETS,
+        SERVER_LINK_DELAYED,
+        SERVER_LINK_RESETS,
+        SERVER_LINK_SILENT,
+        SERVER_LINK_ONE_WAY,
+        SERVER_GRAY,
+        SERVER_SLOW,
+        SERVER_CRASHES,
+        SERVER_REPLACED,
+        ADDRESS_REUSED,
+        CONFIGURATION,
+        CONFIGURATION_STORM
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/io/coppershelf/soak/GatewayProcess.java
@@ -0,0 +1,118 @@
+package io.coppershelf.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+
+/** A gateway as a process of its own, with its log in a file. */
+final class GatewayProcess implements EntryVm, AutoCloseable {
+    /** The settings of the platform name the variable. */
+    private static final String SETTINGS_VARIABLE = "COPPERSHELF_CONFIG";
+    /** Time from SIGTERM until the platform kills the process. */
+    static final int GRACE_SECONDS = 6;
+
+    private static final Path JAR = Path.of("..", "target", "platform", "gateway.jar");
+
+    private final Path settings;
+    private final Path log;
+    private final InetSocketAddress callers;
+    private final String name;
+    private volatile Process process;
+    private final AtomicInteger starts = new AtomicInteger();
+
+    private GatewayProcess(String name, Path directory, InetSocketAddress callers) {
+        this.name = name;
+        this.callers = callers;
+        settings = directory.resolve(name + ".json");
+        log = directory.resolve(name + ".log");
+    }
+
+    /**
+     * Starts the gateways of a fleet, each with a loopback address of its own.
+     *
+     * @param stores where each of them reaches the store
+     */
+    static List<GatewayProcess> startFleet(Path directory, int firstPort, List<InetSocketAddress> stores)
+            throws IOException {
+        List<GatewayProcess> fleet = new ArrayList<>();
+        String seeds = "[\"" + ip(0) + ":" + (firstPort + 2) + "\",\"" + ip(1) + ":" + (firstPort + 2) + "\"]";
+        for (int i = 0; i < stores.size(); i++) {
+            GatewayProcess vm = new GatewayProcess("vm-" + i, directory, new InetSocketAddress(ip(i), firstPort));
+            Files.writeString(vm.settings, settings(vm.name, ip(i), firstPort, seeds, stores.get(i)));
+            vm.start();
+            fleet.add(vm);
+        }
+        return fleet;
+    }
+
+    void start() throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(
+                "java", "-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar", JAR.toString());
+        builder.environment().put(SETTINGS_VARIABLE, settings.toString());
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        process = builder.start();
+        starts.incrementAndGet();
+    }
+
+    /** Sends a signal to the process that this object started. */
+    void signal(String signalName) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signalName, Long.toString(process.pid()))
+                .start()
+                .waitFor();
+    }
+
+    /** Kills the process without notice. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    /** Tells the process to stop. Returns whether it ended in time; else it is killed. */
+    boolean stop() throws InterruptedException {
+        process.destroy();
+        boolean isInTime = process.waitFor(GRACE_SECONDS, TimeUnit.SECONDS);
+        kill();
+        return isInTime;
+    }
+
+    @Override
+    public String name() {
+        return name;
+    }
+
+    @Override
+    public InetSocketAddress callers() {
+        return callers;
+    }
+
+    @Override
+    public int starts() {
+        return starts.get();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    private static String ip(int index) {
+        return "127.0.0." + (index + 2);
+    }
+
+    private static String settings(String name, String ip, int port, String seeds, InetSocketAddress store) {
+        String listen = List.of("front", "ready", "control").stream()
+                .map(use -> "\"" + use + "\":\"" + ip + ":"
+                        + (port + List.of("front", "ready", "control").indexOf(use)) + "\"")
+                .collect(Collectors.joining(","));
+        return "{\"self\":{\"node_name\":\"" + name + "\",\"ip\":\"" + ip + "\",\"zone\":\"a\"},"
+                + "\"network\":{\"listen\":{" + listen + "},\"seeds\":" + seeds + "},"
+                + "\"platform\":{\"platform\":{\"address\":\"127.0.0.1:" + store.getPort() + "\"}},"
+                + "\"terms\":{\"bounds\":{\"retry_budget_ratio\":0.2,\"retry_budget_min\":58,"
+                + "\"budget_window_s\":10,\"grace_s\":" + GRACE_SECONDS + "}}}";
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/io/coppershelf/soak/PromiseCheckerTest.java
@@ -0,0 +1,83 @@
+package io.coppershelf.soak;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** What disturbances excuse, and what they do not. */
+final class PromiseCheckerTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final Disturbances disturbances = new Disturbances();
+
+    @Test
+    void lateAnswerOfAPausedVmIsExcused() {
+        List<Sighting> late = List.of(sent("a", RequestType.ONCE, 10), answered("a", 504, 14));
+        assertThat(PromiseChecker.check(late, disturbances)).hasSize(1);
+        disturbances.begin("vm", 11 * SECOND);
+        disturbances.end("vm", 13 * SECOND);
+        assertThat(PromiseChecker.check(late, disturbances)).isEmpty();
+    }
+
+    @Test
+    void secondRunIsNeverExcused() {
+        disturbances.begin("vm", 0);
+        disturbances.begin(Disturbances.STORE, 0);
+        disturbances.begin(Disturbances.SERVERS, 0);
+        List<Sighting> twice = List.of(
+                sent("a", RequestType.ONCE, 10),
+                new Sighting.Ran("a", "i-1", 11 * SECOND),
+                new Sighting.Ran("a", "i-2", 11 * SECOND));
+        assertThat(PromiseChecker.check(twice, disturbances)).hasSize(1);
+    }
+
+    @Test
+    void repeatableRequestsMayRunTwice() {
+        List<Sighting> twice = List.of(
+                sent("a", RequestType.REPEATABLE, 10),
+                new Sighting.Ran("a", "i-1", 11 * SECOND),
+                new Sighting.Ran("a", "i-2", 11 * SECOND));
+        assertThat(PromiseChecker.check(twice, disturbances)).isEmpty();
+    }
+
+    @Test
+    void runAfterARefusalIsFoundAlthoughItCameLater() {
+        List<Sighting> later = List.of(
+                sent("a", RequestType.ONCE, 10), answered("a", 503, 11), new Sighting.Ran("a", "i-1", 30 * SECOND));
+        assertThat(PromiseChecker.check(later, disturbances).get(0).promise()).isEqualTo(Promise.NOT_RUN_IS_TRUE);
+    }
+
+    @Test
+    void workForALeavingServerIsExcusedWhileTheStoreIsAway() {
+        List<Sighting> work = List.of(
+                new Sighting.Leaving("i-1", 5 * SECOND),
+                sent("a", RequestType.ONCE, 10),
+                new Sighting.Ran("a", "i-1", 10 * SECOND));
+        assertThat(PromiseChecker.check(work, disturbances)).hasSize(1);
+        disturbances.begin(Disturbances.STORE, 6 * SECOND);
+        assertThat(PromiseChecker.check(work, disturbances)).isEmpty();
+    }
+
+    @Test
+    void lossAtAKilledVmIsNoLossByAStop() {
+        List<Sighting> lost = List.of(
+                sent("a", RequestType.ONCE, 10),
+                new Sighting.Ran("a", "i-1", 10 * SECOND),
+                new Sighting.Lost("a", 11 * SECOND));
+        assertThat(PromiseChecker.check(lost, disturbances)).isEmpty();
+        disturbances.begin(PromiseChecker.stopOf("vm"), 9 * SECOND);
+        assertThat(PromiseChecker.check(lost, disturbances)).hasSize(1);
+        disturbances.begin("vm", 11 * SECOND);
+        assertThat(PromiseChecker.check(lost, disturbances)).isEmpty();
+    }
+
+    private static Sighting.Sent sent(String id, RequestType type, long second) {
+        return new Sighting.Sent(id, type, "vm", 1, 1, second * SECOND, (second + 2) * SECOND);
+    }
+
+    private static Sighting.Answered answered(String id, int status, long second) {
+        return new Sighting.Answered(id, status, false, second * SECOND);
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/io/coppershelf/soak/SoakTest.java
@@ -0,0 +1,29 @@
+package io.coppershelf.soak;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A short run of the soak with fixed seeds; {@code bin/soak} runs more. */
+@Timeout(180)
+final class SoakTest {
+    private static final int FAULT_MILLIS = 6000;
+    private static final int FIRST_PORT = 18_400;
+
+    @TempDir
+    Path directory;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1})
+    void realGatewaysKeepThePromisesUnderFaults(long seed) throws IOException, InterruptedException {
+        SoakRun.Result result = SoakRun.of(seed, FAULT_MILLIS, FIRST_PORT, directory);
+        assertWithMessage("broken under %s", result.plan())
+                .that(result.violations())
+                .isEmpty();
+    }
+}
--- /dev/null
+++ b/soak/src/test/java/io/coppershelf/soak/Violation.java
@@ -0,0 +1,4 @@
+package io.coppershelf.soak;
+
+/** A broken promise and what shows it. */
+record Violation(Promise promise, String evidence) {}
