Keep the floor of servers in use before anything fails

The logs show the last two seconds before all VMs lose power: requests in flight (a third of them) count as failed, eight of 18 servers of the service were in use, five of these had just turned sick, and of the ten others five were sound again: they had been left alone since failures 12 s and more before. The rule that brings idle servers back began only when the service failed 7%, and left out what was still suspected. Change: 85% of the servers that are not suspected have a request every other second at any time; a server whose last failure is 11 s old may be tried for that. Full servers and large answers are left out. attempt-ended tells what the server was chosen by.

--- a/coppershelf/src/main/java/io/coppershelf/belief/ServerBelief.java
+++ b/coppershelf/src/main/java/io/coppershelf/belief/ServerBelief.java
@@ -8,9 +8,9 @@
  *
  * @param sickness the probability at the time of the last observation, between 0 and 1
  * @param atNanos the monotonic time of the last observation
- * @param badObservations how many bad observations were counted
+ * @param failedNanos the monotonic time of the last bad observation, {@link Long#MIN_VALUE} before the first
  */
-public record ServerBelief(double sickness, long atNanos, int badObservations) {
+public record ServerBelief(double sickness, long atNanos, long failedNanos) {
     /** Mean time that a server stays sick, in seconds; gray failures of the workloads last several seconds. */
     static final double MEAN_SICK_SECONDS = 10;
     /** Mean time that a server stays well, in seconds; at any time up to a quarter of the servers fail grayly. */
@@ -25,12 +25,16 @@
     private static final double HIGHEST = 0.995;
     /** From this probability on, a server counts as suspected in logs. */
     private static final double SUSPECT = 0.4;
+    /** Time after which most sicknesses are over, in seconds; a server that failed longer ago may be tried. */
+    private static final double RETRY_SECONDS = 11;
+    /** For comparisons of probabilities. */
+    private static final double TOLERANCE = 1e-6;
     /** From this probability on, peers hear of good observations too; below it they would learn little from one. */
     private static final double UNCERTAIN = 0.1;
 
     /** Returns the belief in a server without observations. */
     public static ServerBelief initial(long nowNanos) {
-        return new ServerBelief(BASE_SICKNESS, nowNanos, 0);
+        return new ServerBelief(BASE_SICKNESS, nowNanos, Long.MIN_VALUE);
     }
 
     /** Returns the belief after an observation. */
@@ -38,12 +42,12 @@
         double before = sicknessAt(nowNanos);
         double odds = before / (1 - before) * observation.likelihoodRatio();
         double after = Math.min(HIGHEST, Math.max(LOWEST, odds / (1 + odds)));
-        return new ServerBelief(after, nowNanos, badObservations + (observation.isBad() ? 1 : 0));
+        return new ServerBelief(after, nowNanos, observation.isBad() ? nowNanos : failedNanos);
     }
 
     /** Returns the probability at a time; without observations it returns to the base. */
     public double sicknessAt(long nowNanos) {
-        double seconds = Math.max(0, nowNanos - atNanos) / (double) TimeUnit.SECONDS.toNanos(1);
+        double seconds = secondsSince(atNanos, nowNanos);
         return BASE_SICKNESS + (sickness - BASE_SICKNESS) * Math.exp(-RELAXATION_PER_SECOND * seconds);
     }
 
@@ -56,4 +60,17 @@
     public boolean isSuspect(long nowNanos) {
         return sicknessAt(nowNanos) >= SUSPECT;
     }
+
+    /**
+     * Returns whether a request may find out how the server is: it is no more likely sick than one of which nothing is
+     * known, or its last failure was so long ago that it may have recovered.
+     */
+    public boolean isWorthATry(long nowNanos) {
+        boolean isOldFailure = failedNanos != Long.MIN_VALUE && secondsSince(failedNanos, nowNanos) >= RETRY_SECONDS;
+        return isOldFailure || sicknessAt(nowNanos) <= BASE_SICKNESS + TOLERANCE;
+    }
+
+    private static double secondsSince(long fromNanos, long nowNanos) {
+        return Math.max(0, nowNanos - fromNanos) / (double) TimeUnit.SECONDS.toNanos(1);
+    }
 }
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -1,9 +1,11 @@
 package io.coppershelf.dispatch;
 
 import io.coppershelf.belief.BeliefTable;
+import io.coppershelf.belief.ServerBelief;
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.RequestKind;
 import io.coppershelf.catalog.ServerList;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -85,12 +87,29 @@
      */
     public Optional<BackendServer> choose(
             List<BackendServer> servers, RequestKind kind, boolean isLastChance, Set<String> excluded, long nowNanos) {
-        List<BackendServer> due = spread.unused(servers, isLastChance, nowNanos).stream()
+        Optional<BackendServer> forFloor = kind == RequestKind.LARGE_ANSWER
+                ? Optional.empty()
+                : best(
+                        spread.unused(unsuspected(servers, nowNanos), isLastChance, nowNanos),
+                        kind,
+                        isLastChance,
+                        excluded,
+                        nowNanos);
+        return forFloor.isPresent() ? forFloor : best(servers, kind, isLastChance, excluded, nowNanos);
+    }
+
+    /** Returns the servers that can be reached, have a free slot and are not suspected. */
+    private List<BackendServer> unsuspected(List<BackendServer> servers, long nowNanos) {
+        return servers.stream()
                 .filter(server -> !use(server).isPathAvoided(nowNanos))
-                .filter(server -> !beliefs.belief(keyOf(server), nowNanos).isSuspect(nowNanos))
+                .filter(server -> busy(server, nowNanos) < server.slots())
+                .filter(server -> beliefs.belief(keyOf(server), nowNanos).isWorthATry(nowNanos))
                 .toList();
-        Optional<BackendServer> forFloor = best(due, kind, isLastChance, excluded, nowNanos);
-        return forFloor.isPresent() ? forFloor : best(servers, kind, isLastChance, excluded, nowNanos);
+    }
+
+    private double busy(BackendServer server, long nowNanos) {
+        ServerUse use = use(server);
+        return use.busy(fleetLoad.inFlightOfOthers(use.code()), nowNanos);
     }
 
     private Optional<BackendServer> best(
@@ -110,14 +129,22 @@
         return Optional.ofNullable(best);
     }
 
+    /** Returns what the choice of a server goes by at this time. */
+    public ChoiceInputs inputs(BackendServer server, long nowNanos) {
+        ServerBelief belief = beliefs.belief(keyOf(server), nowNanos);
+        return new ChoiceInputs(
+                belief.sicknessAt(nowNanos),
+                Duration.ofNanos(Math.max(0, nowNanos - belief.atNanos())),
+                busy(server, nowNanos));
+    }
+
     /** Returns the expected loss of sending a request to the server, as a share of its worth. */
     double loss(BackendServer server, RequestKind kind, boolean isLastChance, long nowNanos) {
         String key = keyOf(server);
         double failure = SICK_FAILURE_SHARE * beliefs.belief(key, nowNanos).sicknessAt(nowNanos);
         double loss = failure * (isLastChance ? LAST_FAILURE_LOSS : REPEATABLE_FAILURE_LOSS);
-        ServerUse use = use(server);
-        loss += loadLoss(use.busy(fleetLoad.inFlightOfOthers(use.code()), nowNanos), server.slots());
-        loss += use.isPathAvoided(nowNanos) ? BROKEN_PATH_LOSS : 0;
+        loss += loadLoss(busy(server, nowNanos), server.slots());
+        loss += use(server).isPathAvoided(nowNanos) ? BROKEN_PATH_LOSS : 0;
         if (!server.dataCentre().equals(dataCentre)) {
             loss += kind == RequestKind.LARGE_ANSWER ? REMOTE_LARGE_LOSS : REMOTE_LOSS;
         }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetEvidence.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetEvidence.java
@@ -33,9 +33,6 @@
     boolean observe(String serverKey, Observation observation, String source, StateLog log, long nowNanos) {
         ServerBelief before = beliefs.belief(serverKey, nowNanos);
         boolean isNews = beliefs.observe(serverKey, observation, nowNanos);
-        if (observation.isBad()) {
-            spread.failed(FleetLoad.codeOf(serverKey), nowNanos);
-        }
         log.belief(serverKey, before, beliefs.belief(serverKey, nowNanos), source, observation, nowNanos);
         return isNews;
     }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestRun.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestRun.java
@@ -4,6 +4,7 @@
 import io.coppershelf.catalog.Catalog;
 import io.coppershelf.catalog.RequestKind;
 import io.coppershelf.catalog.Route;
+import io.coppershelf.dispatch.ChoiceInputs;
 import io.coppershelf.dispatch.RequestPlan;
 import io.coppershelf.dispatch.ServerChoice;
 import io.coppershelf.dispatch.Step;
@@ -259,6 +260,7 @@
 
     private void logAttempt(ServerAttempt attempt, int number, ServerAttempt.End end, String detail) {
         Catalog catalog = context.state().catalog();
+        ChoiceInputs inputs = attempt.inputs();
         context.log()
                 .important(
                         "attempt-ended",
@@ -269,6 +271,9 @@
                                 "end", end.name(),
                                 "detail", detail,
                                 "tookMs", TimeUnit.NANOSECONDS.toMillis(attempt.ageNanos()),
+                                "sicknessThen", inputs.sickness(),
+                                "observedMsBefore", inputs.observationAge().toMillis(),
+                                "busyThen", inputs.busy(),
                                 "serversRevision", catalog.servers().revision()));
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
@@ -2,6 +2,7 @@
 
 import io.coppershelf.belief.Observation;
 import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.dispatch.ChoiceInputs;
 import io.coppershelf.dispatch.ServerUse;
 import io.coppershelf.eventlog.Fields;
 import io.coppershelf.http.AnswerListener;
@@ -45,6 +46,7 @@
     private final String requestId;
     private final Listener listener;
     private final ServerUse use;
+    private final ChoiceInputs inputs;
     private final long startedNanos = System.nanoTime();
     private Optional<HttpLink> link = Optional.empty();
     private Optional<HttpAnswer> answer = Optional.empty();
@@ -58,6 +60,7 @@
         this.requestId = requestId;
         this.listener = listener;
         use = context.chooser().use(server);
+        inputs = context.chooser().inputs(server, startedNanos);
         use.begin();
         context.state().loadChanged(use.code(), use.inFlight(), true);
     }
@@ -66,6 +69,11 @@
         return server;
     }
 
+    /** Returns what the server was chosen by. */
+    ChoiceInputs inputs() {
+        return inputs;
+    }
+
     /** Returns the answer of an attempt that ended with one. */
     HttpAnswer answer() {
         return answer.orElseThrow();
--- a/coppershelf/src/test/java/io/coppershelf/belief/ServerBeliefTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/belief/ServerBeliefTest.java
@@ -42,6 +42,29 @@
         assertThat(belief.sicknessAt(60 * SECOND)).isWithin(0.01).of(ServerBelief.BASE_SICKNESS);
     }
 
+    @Test
+    void serverThatFailedIsNotWorthATryWhileASicknessLasts() {
+        ServerBelief belief = ServerBelief.initial(0).after(Observation.FAILURE, 0);
+        assertThat(belief.isWorthATry(9 * SECOND)).isFalse();
+        assertThat(belief.isWorthATry(12 * SECOND)).isTrue();
+    }
+
+    @Test
+    void serverThatFailsTheTryIsLeftAloneAnew() {
+        ServerBelief belief =
+                ServerBelief.initial(0).after(Observation.FAILURE, 0).after(Observation.FAILURE, 12 * SECOND);
+        assertThat(belief.isWorthATry(20 * SECOND)).isFalse();
+        assertThat(belief.isWorthATry(24 * SECOND)).isTrue();
+    }
+
+    @Test
+    void unknownAndProvenServersAreWorthATry() {
+        ServerBelief unknown = ServerBelief.initial(0);
+        assertThat(unknown.isWorthATry(SECOND)).isTrue();
+        assertThat(unknown.after(Observation.SUCCESS, 0).isWorthATry(60 * SECOND))
+                .isTrue();
+    }
+
     @Test
     void successesOfASickServerRestoreTrustWithinAFewRequests() {
         ServerBelief belief = ServerBelief.initial(0);
--- a/soak/src/test/java/io/coppershelf/soak/GatewayProcess.java
+++ b/soak/src/test/java/io/coppershelf/soak/GatewayProcess.java
@@ -80,6 +80,11 @@
         return isInTime;
     }
 
+    /** Returns the file of its log. */
+    Path log() {
+        return log;
+    }
+
     @Override
     public String name() {
         return name;
