--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -25,6 +25,7 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -61,17 +62,15 @@
 
     /** Routes all requests to the servers. */
     void serve(FakeBackendServer... servers) {
+        servePorts(Arrays.stream(servers).mapToInt(FakeBackendServer::port).toArray());
+    }
+
+    /** Routes all requests to servers that listen on the ports of the loopback interface. */
+    void servePorts(int... ports) {
         List<BackendServer> list = new ArrayList<>();
-        for (FakeBackendServer server : servers) {
+        for (int port : ports) {
             list.add(new BackendServer(
-                    "i-" + list.size(),
-                    1,
-                    "ledger",
-                    new InetSocketAddress("127.0.0.1", server.port()),
-                    "here",
-                    6,
-                    true,
-                    0));
+                    "i-" + list.size(), 1, "ledger", new InetSocketAddress("127.0.0.1", port), "here", 6, true, 0));
         }
         RouteTable routes = RouteTable.of(List.of(
                 route("/once/", RequestKind.ONCE),
--- a/coppershelf/src/test/java/io/coppershelf/proxy/TrafficServerTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/TrafficServerTest.java
@@ -130,6 +130,17 @@
         }
     }
 
+    @Test
+    void answerWithoutALengthIsNotWholeWhenTheConnectionIsReset() throws IOException {
+        try (ResettingServer server = ResettingServer.start(
+                "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\nConnection: close\r\n\r\nhalf of the body")) {
+            proxy.servePorts(server.port());
+            RawCaller.Reply reply = proxy.call("POST", "/once/1");
+            assertThat(reply.status()).isEqualTo(502);
+            assertThat(reply.body()).doesNotContain("half");
+        }
+    }
+
     @Test
     void bytesThatAreNoAnswerFailTheRequest() throws IOException {
         try (FakeBackendServer server =
