--- a/coppershelf/src/main/java/io/coppershelf/catalog/BackendServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/BackendServer.java
@@ -23,6 +23,11 @@
         int slots,
         boolean isAccepting,
         long coldMillis) {
+    /** Returns the key of this incarnation in beliefs and in messages between VMs. */
+    public String key() {
+        return id + '@' + bornMillis;
+    }
+
     /** Returns whether both are the same incarnation, whatever else they report. */
     public boolean isSameIncarnation(BackendServer other) {
         return id.equals(other.id) && bornMillis == other.bornMillis && address.equals(other.address);
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * Chooses the server with the least expected loss: the chance that it fails the request, the delay by its load, the
@@ -68,14 +67,15 @@
         this.random = random;
     }
 
-    /** Returns the key of an incarnation of a server in beliefs and in evidence. */
-    public static String keyOf(BackendServer server) {
-        return server.id() + '@' + server.bornMillis();
-    }
-
-    /** Returns what is known of the use of a server. */
+    /** Returns what is known of the use of a server; nothing is known of a new incarnation. */
     public ServerUse use(BackendServer server) {
-        return uses.computeIfAbsent(keyOf(server), ServerUse::new);
+        ServerUse known = uses.get(server.id());
+        if (known != null && known.isOf(server)) {
+            return known;
+        }
+        ServerUse created = new ServerUse(server);
+        uses.put(server.id(), created);
+        return created;
     }
 
     /**
@@ -90,7 +90,11 @@
         Optional<BackendServer> forFloor = kind == RequestKind.LARGE_ANSWER
                 ? Optional.empty()
                 : best(
-                        spread.unused(unsuspected(servers, nowNanos), isLastChance, nowNanos),
+                        spread.unused(
+                                unsuspected(servers, nowNanos),
+                                server -> use(server).code(),
+                                isLastChance,
+                                nowNanos),
                         kind,
                         isLastChance,
                         excluded,
@@ -103,7 +107,7 @@
         return servers.stream()
                 .filter(server -> !use(server).isPathAvoided(nowNanos))
                 .filter(server -> busy(server, nowNanos) < server.slots())
-                .filter(server -> beliefs.belief(keyOf(server), nowNanos).isWorthATry(nowNanos))
+                .filter(server -> beliefs.belief(use(server).key(), nowNanos).isWorthATry(nowNanos))
                 .toList();
     }
 
@@ -131,7 +135,7 @@
 
     /** Returns what the choice of a server goes by at this time. */
     public ChoiceInputs inputs(BackendServer server, long nowNanos) {
-        ServerBelief belief = beliefs.belief(keyOf(server), nowNanos);
+        ServerBelief belief = beliefs.belief(use(server).key(), nowNanos);
         return new ChoiceInputs(
                 belief.sicknessAt(nowNanos),
                 Duration.ofNanos(Math.max(0, nowNanos - belief.atNanos())),
@@ -140,8 +144,8 @@
 
     /** Returns the expected loss of sending a request to the server, as a share of its worth. */
     double loss(BackendServer server, RequestKind kind, boolean isLastChance, long nowNanos) {
-        String key = keyOf(server);
-        double failure = SICK_FAILURE_SHARE * beliefs.belief(key, nowNanos).sicknessAt(nowNanos);
+        double failure =
+                SICK_FAILURE_SHARE * beliefs.belief(use(server).key(), nowNanos).sicknessAt(nowNanos);
         double loss = failure * (isLastChance ? LAST_FAILURE_LOSS : REPEATABLE_FAILURE_LOSS);
         loss += loadLoss(busy(server, nowNanos), server.slots());
         loss += use(server).isPathAvoided(nowNanos) ? BROKEN_PATH_LOSS : 0;
@@ -163,9 +167,8 @@
 
     /** Forgets the servers that are not registered any more and have no request of this VM. */
     public void retain(ServerList servers) {
-        Set<String> keys = servers.all().stream().map(ServerChooser::keyOf).collect(Collectors.toSet());
         uses.entrySet()
-                .removeIf(entry ->
-                        !keys.contains(entry.getKey()) && entry.getValue().inFlight() == 0);
+                .removeIf(entry -> servers.server(entry.getKey()).isEmpty()
+                        && entry.getValue().inFlight() == 0);
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerUse.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerUse.java
@@ -1,5 +1,6 @@
 package io.coppershelf.dispatch;
 
+import io.coppershelf.catalog.BackendServer;
 import java.util.concurrent.TimeUnit;
 
 /** What this VM knows of the load of one server and of the path to it. Not safe for several threads. */
@@ -11,6 +12,8 @@
     /** Longest such time; it doubles with each failure in a row. */
     private static final long LONGEST_AVOIDANCE_NANOS = TimeUnit.SECONDS.toNanos(8);
 
+    private final long bornMillis;
+    private final String key;
     private final long code;
     private int inFlight;
     private int reportedBusy;
@@ -19,8 +22,20 @@
     private long avoidUntilNanos;
     private int failuresInRow;
 
-    ServerUse(String serverKey) {
-        code = FleetLoad.codeOf(serverKey);
+    ServerUse(BackendServer server) {
+        bornMillis = server.bornMillis();
+        key = server.key();
+        code = FleetLoad.codeOf(key);
+    }
+
+    /** Returns whether this is the use of the incarnation of the server with the same id. */
+    boolean isOf(BackendServer server) {
+        return bornMillis == server.bornMillis();
+    }
+
+    /** Returns the key of the server in beliefs. */
+    public String key() {
+        return key;
     }
 
     /** Returns the number that stands for the server in messages. */
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServiceSpread.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServiceSpread.java
@@ -1,11 +1,11 @@
 package io.coppershelf.dispatch;
 
-import io.coppershelf.catalog.BackendServer;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToLongFunction;
 
 /**
  * Keeps servers in use: nearly all servers of a service that are not suspected have a request every other second, so
@@ -39,19 +39,20 @@
      * Returns the servers among which the next request has to choose to keep the floor; empty if it is kept.
      *
      * @param servers the servers of the service that take requests and are not suspected
+     * @param codes returns the number that stands for a server in messages
      * @param isLastChance whether the request can't be sent again if the server fails it
      */
-    public List<BackendServer> unused(List<BackendServer> servers, boolean isLastChance, long nowNanos) {
+    public <S> List<S> unused(List<S> servers, ToLongFunction<S> codes, boolean isLastChance, long nowNanos) {
         long limitNanos = isLastChance ? UNUSED_FOR_LAST_CHANCE_NANOS : UNUSED_NANOS;
-        List<BackendServer> unused = servers.stream()
-                .filter(server -> isUnused(server, limitNanos, nowNanos))
+        List<S> unused = servers.stream()
+                .filter(server -> isUnused(codes.applyAsLong(server), limitNanos, nowNanos))
                 .toList();
         boolean isFloorKept = unused.size() <= (1 - USED_SHARE) * servers.size();
         return isFloorKept ? List.of() : unused;
     }
 
-    private boolean isUnused(BackendServer server, long limitNanos, long nowNanos) {
-        Long began = beganNanos.get(FleetLoad.codeOf(ServerChooser.keyOf(server)));
+    private boolean isUnused(long serverCode, long limitNanos, long nowNanos) {
+        Long began = beganNanos.get(serverCode);
         return began == null || nowNanos - began > limitNanos;
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetEvidence.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetEvidence.java
@@ -3,9 +3,9 @@
 import io.coppershelf.belief.BeliefTable;
 import io.coppershelf.belief.Observation;
 import io.coppershelf.belief.ServerBelief;
+import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.dispatch.FleetLoad;
-import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.dispatch.ServiceSpread;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -50,7 +50,7 @@
 
     /** Forgets servers that are not in the list. */
     void retain(ServerList servers) {
-        Set<String> keys = servers.all().stream().map(ServerChooser::keyOf).collect(Collectors.toSet());
+        Set<String> keys = servers.all().stream().map(BackendServer::key).collect(Collectors.toSet());
         beliefs.retain(keys);
         spread.retain(keys.stream().map(FleetLoad::codeOf).collect(Collectors.toSet()));
     }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -8,7 +8,6 @@
 import io.coppershelf.catalog.FleetConfiguration;
 import io.coppershelf.catalog.RemovalGrace;
 import io.coppershelf.catalog.ServerList;
-import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
 import io.coppershelf.proxy.TrafficState;
@@ -122,7 +121,7 @@
     @Override
     public void observed(BackendServer server, Observation observation) {
         loop.execute(() -> {
-            String key = ServerChooser.keyOf(server);
+            String key = server.key();
             if (observe(key, observation, "own request")) {
                 socket.ifPresent(open -> open.send(membership.live(now()), new MeshMessage.Evidence(key, observation)));
             }
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
@@ -33,14 +33,14 @@
 
     @Test
     void sickServerIsAvoidedEvenIfTheOtherIsRemote() {
-        beliefs.observe(ServerChooser.keyOf(near), Observation.FAILURE, 0);
+        beliefs.observe(near.key(), Observation.FAILURE, 0);
         assertThat(chosen(RequestKind.ONCE)).hasValue(far);
         assertThat(chosen(RequestKind.LARGE_ANSWER)).hasValue(far);
     }
 
     @Test
     void sickServerIsStillChosenWhenItIsTheOnlyOne() {
-        beliefs.observe(ServerChooser.keyOf(near), Observation.FAILURE, 0);
+        beliefs.observe(near.key(), Observation.FAILURE, 0);
         assertThat(chooser.choose(List.of(near), RequestKind.ONCE, true, Set.of(), 0))
                 .hasValue(near);
     }
@@ -48,7 +48,7 @@
     @Test
     void provenServerTakesMoreThanItsSlotsBeforeASickOneIsUsed() {
         trust(near);
-        beliefs.observe(ServerChooser.keyOf(far), Observation.FAILURE, 0);
+        beliefs.observe(far.key(), Observation.FAILURE, 0);
         chooser.use(near).reported(7, 0);
         assertThat(chosen(RequestKind.ONCE)).hasValue(near);
         chooser.use(near).reported(24, 0);
@@ -70,7 +70,7 @@
     void repeatableRequestWaitsAtAFullServerRatherThanGoToASickOne() {
         trust(near);
         for (int i = 0; i < 3; i++) {
-            beliefs.observe(ServerChooser.keyOf(far), Observation.FAILURE, 0);
+            beliefs.observe(far.key(), Observation.FAILURE, 0);
         }
         chooser.use(near).reported(12, 0);
         assertThat(chosen(RequestKind.REPEATABLE)).hasValue(near);
@@ -97,7 +97,7 @@
     @Test
     void suspectedServerIsNotUsedForTheFloorsSake() {
         trust(near);
-        beliefs.observe(ServerChooser.keyOf(far), Observation.FAILURE, 0);
+        beliefs.observe(far.key(), Observation.FAILURE, 0);
         used(near);
         assertThat(chosen(RequestKind.ONCE)).hasValue(near);
     }
@@ -110,6 +110,15 @@
         assertThat(chooser.use(near).isPathAvoided(2 * SECOND)).isFalse();
     }
 
+    @Test
+    void nothingIsKnownOfANewIncarnation() {
+        chooser.use(near).pathFailed(0);
+        BackendServer restarted = new BackendServer(
+                near.id(), 2, near.service(), near.address(), near.dataCentre(), near.slots(), true, 0);
+        assertThat(chooser.use(restarted).isPathAvoided(0)).isFalse();
+        assertThat(chooser.use(restarted)).isSameInstanceAs(chooser.use(restarted));
+    }
+
     @Test
     void excludedServersAreNotChosen() {
         assertThat(chooser.choose(List.of(near, far), RequestKind.ONCE, true, Set.of("near", "far"), 0))
@@ -124,7 +133,7 @@
 
     private void trust(BackendServer server) {
         for (int i = 0; i < 10; i++) {
-            beliefs.observe(ServerChooser.keyOf(server), Observation.SUCCESS, 0);
+            beliefs.observe(server.key(), Observation.SUCCESS, 0);
         }
     }
 
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServiceSpreadTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServiceSpreadTest.java
@@ -21,7 +21,7 @@
     @Test
     void serversThatHadNoRequestAreDue() {
         send(0, 20);
-        assertThat(spread.unused(servers, false, SECOND / 10)).hasSize(9);
+        assertThat(unused(false, SECOND / 10)).hasSize(9);
     }
 
     @Test
@@ -29,7 +29,7 @@
         for (int number = 0; number < 9; number++) {
             send(number, 2);
         }
-        assertThat(spread.unused(servers, false, SECOND / 10)).isEmpty();
+        assertThat(unused(false, SECOND / 10)).isEmpty();
     }
 
     /** Pattern: all VMs lose power at once; what was in flight counts as failed, and no rule can act afterwards. */
@@ -38,8 +38,8 @@
         for (int number = 0; number < 10; number++) {
             send(number, 1);
         }
-        assertThat(spread.unused(servers, false, SECOND)).isEmpty();
-        assertThat(spread.unused(servers, false, 2 * SECOND)).hasSize(10);
+        assertThat(unused(false, SECOND)).isEmpty();
+        assertThat(unused(false, 2 * SECOND)).hasSize(10);
     }
 
     @Test
@@ -47,8 +47,12 @@
         spread.began(code(1), 0);
         long later = 3 * SECOND / 2;
         spread.began(code(0), later);
-        assertThat(spread.unused(servers, false, later)).contains(servers.get(1));
-        assertThat(spread.unused(servers, true, later)).doesNotContain(servers.get(1));
+        assertThat(unused(false, later)).contains(servers.get(1));
+        assertThat(unused(true, later)).doesNotContain(servers.get(1));
+    }
+
+    private List<BackendServer> unused(boolean isLastChance, long nowNanos) {
+        return spread.unused(servers, server -> FleetLoad.codeOf(server.key()), isLastChance, nowNanos);
     }
 
     private void send(int server, int count) {
@@ -58,6 +62,6 @@
     }
 
     private long code(int server) {
-        return FleetLoad.codeOf(ServerChooser.keyOf(servers.get(server)));
+        return FleetLoad.codeOf(servers.get(server).key());
     }
 }
