--- a/coppershelf/src/test/java/io/coppershelf/backend/internal/HttpBackendClientTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/backend/internal/HttpBackendClientTest.java
@@ -12,6 +12,7 @@
 import io.coppershelf.testing.FakeBackendServer.Received;
 import io.coppershelf.testing.FakeBackendServer.Script;
 import io.coppershelf.testing.FakeParts;
+import io.coppershelf.testing.FreePorts;
 import io.coppershelf.ticket.ServerSpec;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -191,7 +192,7 @@
         BackendRequest request = request("t1", LIMIT);
         BackendRequest toClosedPort = new BackendRequest(
                 request.tryId(),
-                FakeParts.server(closedPort(), 2),
+                FakeParts.server(FreePorts.address().getPort(), 2),
                 request.method(),
                 request.target(),
                 request.headers(),
@@ -202,12 +203,6 @@
         assertThat(client.send(toClosedPort).result().get().error()).hasValue(ErrorKind.NO_SERVER);
     }
 
-    private static int closedPort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     @Test
     void sendsNothingAfterDeadline() throws Exception {
         start(request -> request.answer(200, ""));
--- a/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
@@ -6,32 +6,29 @@
 import io.coppershelf.catalog.CatalogReader;
 import io.coppershelf.catalog.FleetConfiguration;
 import io.coppershelf.eventlog.EventLog;
+import io.coppershelf.testing.Conditions;
+import io.coppershelf.testing.FreePorts;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Two VMs on the loopback interface, one of which the platform refuses. */
+@Timeout(20)
 final class FleetStateTest {
-    private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
-    private static final long POLL_MILLIS = 20;
-
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-    private final InetSocketAddress first = freeAddress();
-    private final InetSocketAddress second = freeAddress();
+    private final InetSocketAddress first = FreePorts.address();
+    private final InetSocketAddress second = FreePorts.address();
 
     @AfterEach
     void stop() {
@@ -42,9 +39,9 @@
     void vmThatStartsWhileThePlatformRefusesItServesWhatTheOthersHaveInForce() throws InterruptedException {
         FakePlatform answering = new FakePlatform(Optional.of(Snapshots.of(7)));
         FleetState known = start(first, answering);
-        await(known::isReady);
+        Conditions.await(known::isReady);
         FleetState refused = start(second, new FakePlatform(Optional.empty()));
-        await(refused::isReady);
+        Conditions.await(refused::isReady);
         assertThat(revision(refused)).isEqualTo(7);
         assertThat(refused.catalog().servers().revision()).isEqualTo(7);
     }
@@ -54,10 +51,10 @@
         FakePlatform answering = new FakePlatform(Optional.of(Snapshots.of(7)));
         FleetState known = start(first, answering);
         FleetState refused = start(second, new FakePlatform(Optional.empty()));
-        await(refused::isReady);
+        Conditions.await(refused::isReady);
         answering.snapshot = Optional.of(Snapshots.of(9));
-        await(() -> revision(known) == 9);
-        await(() -> revision(refused) == 9);
+        Conditions.await(() -> revision(known) == 9);
+        Conditions.await(() -> revision(refused) == 9);
     }
 
     @Test
@@ -72,13 +69,13 @@
     @Test
     void connectionsThatNeverReadDoNotKeepOthersFromASnapshot() throws Exception {
         FleetState known = start(first, new FakePlatform(Optional.of(Snapshots.of(7))));
-        await(known::isReady);
+        Conditions.await(known::isReady);
         for (int i = 0; i < 10; i++) {
             Socket idle = new Socket(first.getAddress(), first.getPort());
             idle.setSoTimeout(1);
         }
         FleetState refused = start(second, new FakePlatform(Optional.empty()));
-        await(refused::isReady);
+        Conditions.await(refused::isReady);
     }
 
     private FleetState start(InetSocketAddress address, CatalogReader platform) {
@@ -94,22 +91,6 @@
         return state.catalog().configuration().map(FleetConfiguration::revision).orElse(0L);
     }
 
-    private static void await(BooleanSupplier condition) throws InterruptedException {
-        long startNanos = System.nanoTime();
-        while (!condition.getAsBoolean()) {
-            assertThat(System.nanoTime() - startNanos).isLessThan(LIMIT_NANOS);
-            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
-        }
-    }
-
-    private static InetSocketAddress freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        } catch (IOException e) {
-            throw new IllegalStateException("no free port", e);
-        }
-    }
-
     /** A platform that has one state of everything, or refuses. */
     private static final class FakePlatform implements CatalogReader {
         private volatile Optional<Snapshot> snapshot;
--- a/coppershelf/src/test/java/io/coppershelf/peer/internal/BadPeerTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/peer/internal/BadPeerTest.java
@@ -8,6 +8,7 @@
 import io.coppershelf.peer.internal.ExchangeFixture.Member;
 import io.coppershelf.peer.internal.ExchangeFixture.Text;
 import io.coppershelf.peer.internal.ExchangeFixture.TextCodec;
+import io.coppershelf.testing.Conditions;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
--- a/coppershelf/src/test/java/io/coppershelf/peer/internal/NioPeerExchangeTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/peer/internal/NioPeerExchangeTest.java
@@ -8,8 +8,8 @@
 import io.coppershelf.peer.internal.ExchangeFixture.Member;
 import io.coppershelf.peer.internal.ExchangeFixture.Text;
 import io.coppershelf.peer.internal.ExchangeFixture.TextCodec;
-import java.io.IOException;
-import java.net.ServerSocket;
+import io.coppershelf.testing.Conditions;
+import io.coppershelf.testing.FreePorts;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -65,12 +65,9 @@
     }
 
     @Test
-    void saysNotSentWhenNothingListens() throws IOException {
+    void saysNotSentWhenNothingListens() {
         Member sender = silent("a");
-        Vm absent;
-        try (ServerSocket socket = new ServerSocket(0)) {
-            absent = new Vm("b", 1, "herning", "127.0.0.1", socket.getLocalPort(), 0, false);
-        }
+        Vm absent = new Vm("b", 1, "herning", "127.0.0.1", FreePorts.address().getPort(), 0, false);
 
         assertThat(sender.exchange.request(absent, new Text("x"), LONG).join()).isEqualTo(new PeerReply.NotSent());
     }
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -15,6 +15,7 @@
 import io.coppershelf.dispatch.ServiceSpread;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.testing.FakeBackendServer;
+import io.coppershelf.testing.FreePorts;
 import io.coppershelf.testing.RawCaller;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -22,7 +23,6 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -44,8 +44,8 @@
     private final InetSocketAddress address;
     private final TrafficServer server;
 
-    ProxyFixture() throws IOException {
-        address = new InetSocketAddress("127.0.0.1", freePort());
+    ProxyFixture() {
+        address = FreePorts.address();
         server = new TrafficServer(
                 group.next(),
                 NAMES,
@@ -127,12 +127,6 @@
                 List.of(new RoutePart("ledger", 1)));
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
     @Override
     public void close() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/coppershelf/src/test/java/io/coppershelf/peer/internal/Conditions.java
+++ b/coppershelf/src/test/java/io/coppershelf/testing/Conditions.java
@@ -1,4 +1,4 @@
-package io.coppershelf.peer.internal;
+package io.coppershelf.testing;
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -7,12 +7,13 @@
 import java.util.function.BooleanSupplier;
 
 /** Waits for what other threads bring about. */
-final class Conditions {
+public final class Conditions {
     private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(30);
 
     private Conditions() {}
 
-    static void await(BooleanSupplier condition) {
+    /** Waits until the condition holds, and fails if it does not in time. */
+    public static void await(BooleanSupplier condition) {
         long start = System.nanoTime();
         while (!condition.getAsBoolean() && System.nanoTime() - start < LIMIT_NANOS) {
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2));
