Count the updates of the catalog by outcome, measure the delay of the control thread, and log less of what others observed

Nothing told a VM that missed an update from one that ignored it or handled it late.

- coppershelf_catalog_updates_total by outcome (applied, confirmed, gap, incomplete) and coppershelf_control_delay_seconds;
- server-suspected and server-trusted with the observation of another VM are routine lines, which are sampled.

No decision changes.

--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import io.coppershelf.mesh.FleetObservations;
 import io.coppershelf.mesh.FleetState;
 import io.coppershelf.mesh.Membership;
+import io.coppershelf.mesh.MeshMetrics;
 import io.coppershelf.proxy.TrafficServer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -72,7 +73,8 @@
                 System.nanoTime());
         PrometheusRegistry registry = new PrometheusRegistry();
         CatalogReader reader = new MeteredCatalogReader(readers.apply(control), registry);
-        FleetState state = new FleetState(control, reader, observations, membership, random, log);
+        FleetState state =
+                new FleetState(control, reader, observations, membership, random, new MeshMetrics(registry), log);
         FleetRetryBudget budget =
                 new FleetRetryBudget(settings.retryRatio(), settings.retriesPerWindow(), settings.retryWindow());
         TrafficServer traffic = new TrafficServer(
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -43,6 +43,7 @@
     private final FleetObservations observations;
     private final Membership membership;
     private final PlatformReadSchedule schedule;
+    private final MeshMetrics metrics;
     private final EventLog log;
     private final StateChangeLog changeLog;
     private final FleetMessenger messenger;
@@ -55,6 +56,7 @@
     private boolean isPlatformLost;
     private boolean needsCompleteReading = true;
     private long ticks;
+    private long lastTickNanos;
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile int fleetSize = Membership.ASSUMED_FLEET_SIZE;
     private volatile boolean isStopping;
@@ -66,12 +68,14 @@
             FleetObservations observations,
             Membership membership,
             Random random,
+            MeshMetrics metrics,
             EventLog log) {
         this.loop = loop;
         this.reader = reader;
         this.observations = observations;
         this.membership = membership;
         schedule = new PlatformReadSchedule(random);
+        this.metrics = metrics;
         this.log = log;
         changeLog = new StateChangeLog(log);
         messenger = new FleetMessenger(membership);
@@ -143,6 +147,10 @@
 
     private void tick() {
         long now = now();
+        if (ticks > 0) {
+            metrics.recordControlDelay(now - lastTickNanos - TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS));
+        }
+        lastTickNanos = now;
         detectOutage(now);
         if (servers.expire(now)) {
             publishServers("expiry");
@@ -190,11 +198,11 @@
         } else if (message instanceof MeshMessage.ServerLeaving leaving) {
             applyLeaving(leaving.serverKey(), sender.toString());
         } else if (message instanceof MeshMessage.CatalogUpdate update) {
-            applyUpdate(update);
+            metrics.recordUpdate(applyUpdate(update));
         }
     }
 
-    private void applyUpdate(MeshMessage.CatalogUpdate update) {
+    private MeshMetrics.UpdateOutcome applyUpdate(MeshMessage.CatalogUpdate update) {
         configurationFetcher.announced(update.configurationVersion());
         CatalogRevision known = servers.registered().revision();
         CatalogChange change = update.change();
@@ -202,13 +210,18 @@
             // The store was restored, so revisions of the former era can't be continued.
             needsCompleteReading = true;
         }
-        if (needsCompleteReading || !change.follows(known)) {
-            return;
+        if (needsCompleteReading) {
+            return MeshMetrics.UpdateOutcome.INCOMPLETE;
         }
-        if (update.revision().isAfter(known)) {
+        if (!change.follows(known)) {
+            return MeshMetrics.UpdateOutcome.GAP;
+        }
+        boolean isNew = update.revision().isAfter(known);
+        if (isNew) {
             publish(change, "peer");
         }
         schedule.markCurrent(now() - TimeUnit.MILLISECONDS.toNanos(update.ageMillis()));
+        return isNew ? MeshMetrics.UpdateOutcome.APPLIED : MeshMetrics.UpdateOutcome.CONFIRMED;
     }
 
     private void publish(CatalogChange change, String source) {
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMetrics.java
@@ -0,0 +1,49 @@
+package io.coppershelf.mesh;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
+
+/** Measures how current the control state of this VM is. */
+public final class MeshMetrics {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    /** What became of an update of the catalog that another VM sent. */
+    enum UpdateOutcome {
+        /** Its changes were new and are in force. */
+        APPLIED,
+        /** Its changes were known; it confirms that the catalog is current. */
+        CONFIRMED,
+        /** Ignored, since this VM has not received an earlier change. */
+        GAP,
+        /** Ignored, since this VM needs a complete reading first. */
+        INCOMPLETE
+    }
+
+    private final Counter updates;
+    private final Histogram controlDelay;
+
+    /** Registers the metrics. */
+    public MeshMetrics(PrometheusRegistry registry) {
+        updates = Counter.builder()
+                .name("coppershelf_catalog_updates_total")
+                .help("Updates of the catalog received from other VMs by outcome")
+                .labelNames("outcome")
+                .register(registry);
+        controlDelay = Histogram.builder()
+                .name("coppershelf_control_delay_seconds")
+                .help("Time by which a periodic action of the control thread started late")
+                .classicOnly()
+                .classicUpperBounds(0.01, 0.05, 0.25, 1, 2.5)
+                .register(registry);
+    }
+
+    void recordUpdate(UpdateOutcome outcome) {
+        updates.labelValues(outcome.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
+    void recordControlDelay(long nanos) {
+        controlDelay.observe(Math.max(0, nanos) / NANOS_PER_SECOND);
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
@@ -40,7 +40,7 @@
     void observed(BackendServer server, Observation observation) {
         long now = System.nanoTime();
         String key = server.key();
-        if (observations.observe(key, observation, "own request", changeLog, now)) {
+        if (observations.observe(key, observation, StateChangeLog.OWN_REQUEST, changeLog, now)) {
             long dueNanos = reporter(server)
                     .observed(new MeshMessage.ServerObservation(key, observation), messenger.audience(now), now);
             if (observation.isNegative()) {
--- a/coppershelf/src/main/java/io/coppershelf/mesh/StateChangeLog.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/StateChangeLog.java
@@ -13,6 +13,9 @@
 
 /** Writes a log line for each change of the control state. */
 final class StateChangeLog {
+    /** The source of the observations of this VM itself. */
+    static final String OWN_REQUEST = "own request";
+
     private final EventLog log;
 
     StateChangeLog(EventLog log) {
@@ -20,7 +23,8 @@
     }
 
     /**
-     * Logs that a server is suspected or no longer suspected, if that has changed.
+     * Logs that a server is suspected or no longer suspected, if that has changed. Observations of other VMs are
+     * routine, since those log them as their own.
      *
      * @param source the source of the observation
      */
@@ -35,7 +39,8 @@
         if (isSuspected == before.isSuspected(nowNanos)) {
             return;
         }
-        log.important(
+        log.write(
+                source.equals(OWN_REQUEST) ? EventLog.Importance.IMPORTANT : EventLog.Importance.ROUTINE,
                 isSuspected ? "server-suspected" : "server-trusted",
                 Fields.of(
                         "server",
--- a/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
@@ -14,6 +14,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -159,8 +160,14 @@
     private FleetState start(InetSocketAddress address, CatalogReader platform) {
         Random random = new Random(1);
         Membership membership = new Membership(address, "here", 1, List.of(first, second), random, System.nanoTime());
-        FleetState state =
-                new FleetState(loops.next(), platform, FleetObservations.create(), membership, random, EventLog.NONE);
+        FleetState state = new FleetState(
+                loops.next(),
+                platform,
+                FleetObservations.create(),
+                membership,
+                random,
+                new MeshMetrics(new PrometheusRegistry()),
+                EventLog.NONE);
         state.start(address);
         return state;
     }
