--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetMessenger.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetMessenger.java
@@ -1,6 +1,8 @@
 package io.coppershelf.mesh;
 
+import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -9,13 +11,16 @@
     /** Time after which the receivers are determined again; far below the time in which a VM is detected as down. */
     private static final long REFRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    private final EventLoop loop;
     private final Membership membership;
+    private final BroadcastPacer pacer = new BroadcastPacer();
     private Optional<MeshSocket> socket = Optional.empty();
     private Optional<Audience> audience = Optional.empty();
     private int rank;
     private long refreshedNanos;
 
-    FleetMessenger(Membership membership) {
+    FleetMessenger(EventLoop loop, Membership membership) {
+        this.loop = loop;
         this.membership = membership;
     }
 
@@ -47,7 +52,20 @@
 
     /** Sends a message to all other VMs. */
     void sendToAll(MeshMessage message, long nowNanos) {
-        socket.ifPresent(open -> open.send(audience(nowNanos).all(), message));
+        socket.ifPresent(open -> broadcast(open, audience(nowNanos).all(), MeshCodec.encode(message), nowNanos));
+    }
+
+    private void broadcast(MeshSocket open, List<InetSocketAddress> receivers, byte[] bytes, long nowNanos) {
+        int first = 0;
+        for (BroadcastPacer.Batch batch : pacer.plan(receivers.size(), bytes.length, nowNanos)) {
+            List<InetSocketAddress> batchReceivers = receivers.subList(first, first + batch.count());
+            first += batch.count();
+            if (batch.delayNanos() == 0) {
+                open.send(batchReceivers, bytes);
+            } else {
+                loop.schedule(() -> open.send(batchReceivers, bytes), batch.delayNanos(), TimeUnit.NANOSECONDS);
+            }
+        }
     }
 
     /** Sends a report on servers of a data centre to the VMs that need it. */
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -78,7 +78,7 @@
         this.metrics = metrics;
         this.log = log;
         changeLog = new StateChangeLog(log);
-        messenger = new FleetMessenger(membership);
+        messenger = new FleetMessenger(loop, membership);
         reporting = new ServerReporting(loop, messenger, observations, membership.dataCentre(), changeLog);
         snapshots = new SnapshotClient(loop, () -> membership.randomLive(now()));
         configurationFetcher = new ConfigurationFetcher(
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshSocket.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshSocket.java
@@ -65,10 +65,13 @@
 
     /** Sends a message to several VMs. */
     public void send(Collection<InetSocketAddress> receivers, MeshMessage message) {
-        if (receivers.isEmpty()) {
-            return;
+        if (!receivers.isEmpty()) {
+            send(receivers, MeshCodec.encode(message));
         }
-        byte[] bytes = MeshCodec.encode(message);
+    }
+
+    /** Sends an encoded message to several VMs. */
+    void send(Collection<InetSocketAddress> receivers, byte[] bytes) {
         receivers.forEach(receiver -> write(receiver, bytes));
         channel.flush();
     }
--- a/coppershelf/src/test/java/io/coppershelf/mesh/PlatformReadScheduleTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/PlatformReadScheduleTest.java
@@ -52,4 +52,20 @@
         assertThat(readings).isAtMost(70);
         assertThat(readings).isAtLeast(20);
     }
+
+    /**
+     * Guards against a VM that the platform refused for some time and that later waits seconds before it repeats a
+     * reading, although other VMs have read the platform meanwhile.
+     */
+    @Test
+    void pauseAfterAFailureStartsAnewOnceAnotherVmHasReadThePlatform() {
+        long now = 0;
+        for (int failure = 0; failure < 5; failure++) {
+            now += 3000 * MILLI;
+            schedule.readFailed(now);
+        }
+        schedule.markCurrent(now + 1000 * MILLI);
+        schedule.readFailed(now + 2300 * MILLI);
+        assertThat(schedule.isDue(30, OLD, now + 2600 * MILLI)).isTrue();
+    }
 }
