Start the pause after a failed reading anew once another VM has read the platform

Callers: a VM that the platform refused for seconds, and that some time later needs a reading of its own since it missed an update, waits 0.75 to 2.25 s after one failure before it repeats the reading. Servers that leave meanwhile get its requests.

Cause: failures were counted until a reading of this VM succeeded; a VM that gets its updates from others rarely reads, so the count of an outage stayed for good. Class: a backoff without a reset by evidence from elsewhere. Looked for elsewhere: the backoff of a server's path ends with any connection to it; ConfigurationFetcher counts anew for each version.

Change: a confirmation by another VM resets the count too. While nobody can read, nothing confirms, and the pauses grow as before (failedReadingsAreSpacedOut).

--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -314,7 +314,6 @@
             if (change.follows(before.revision()) && !before.revision().isAfter(change.revision())) {
                 publish(change, "platform");
             }
-            schedule.readSucceeded();
             schedule.markCurrent(now());
             sendUpdate(change);
         }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/PlatformReadSchedule.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/PlatformReadSchedule.java
@@ -47,15 +47,12 @@
         if (!isConfirmed || atNanos - currentAtNanos > 0) {
             currentAtNanos = atNanos;
             isConfirmed = true;
+            // The platform answered some VM, so earlier failures say nothing about the next reading.
+            failures = 0;
             jitterNanos = (long) (random.nextDouble() * OTHERS_JITTER_NANOS);
         }
     }
 
-    /** Records that a reading of this VM succeeded. */
-    public void readSucceeded() {
-        failures = 0;
-    }
-
     /** Records that a reading of this VM failed. */
     public void readFailed(long nowNanos) {
         long pause = Math.min(MAX_PAUSE_NANOS, FIRST_PAUSE_NANOS << Math.min(failures, MAX_DOUBLINGS));
