Keep a server in an update for other VMs that was removed and registered again meanwhile

Callers: a server that one VM never uses again, so more load on the others. If the entry of a server is removed or replaced by one that can't be read, and is written again, a VM that reads both at once finds nothing changed and leaves the server out of its update. A VM that received the removal from a third one takes the update, and its list lacks the server for good.

--- a/coppershelf/src/main/java/io/coppershelf/catalog/CatalogChange.java
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/CatalogChange.java
@@ -13,7 +13,7 @@
  * @param revision the revision that the reading reached
  * @param configuration the configuration, if it was read or has changed
  * @param changed servers that are new or whose report has changed
- * @param removed the ids of servers that are no longer registered
+ * @param removed the ids of servers whose registration was removed; those that registered again are among the changed
  */
 public record CatalogChange(
         CatalogRevision since,
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -61,7 +61,7 @@
      * @param configurationVersion the version of the newest configuration
      * @param ageMillis the time since the reading
      * @param changed servers that are new or whose report has changed
-     * @param removed ids of servers that are no longer registered
+     * @param removed ids of servers whose registration was removed; those that registered again are among the changed
      */
     record CatalogUpdate(
             CatalogRevision since,
@@ -73,15 +73,17 @@
             implements MeshMessage {
         /**
          * Returns the update for the other VMs after a reading: it holds the changes that matter for routing and
-         * confirms that the rest is unchanged.
+         * confirms that the rest is unchanged. A receiver may have had any revision in between, so a server that was
+         * removed and registered again has changed.
          *
          * @param before the list that the changes follow
          */
         static CatalogUpdate of(ServerList before, CatalogChange change, long configurationVersion) {
             List<BackendServer> changed = change.changed().stream()
-                    .filter(server -> before.server(server.id())
-                            .filter(known -> known.isSameForRouting(server))
-                            .isEmpty())
+                    .filter(server -> change.removed().contains(server.id())
+                            || before.server(server.id())
+                                    .filter(known -> known.isSameForRouting(server))
+                                    .isEmpty())
                     .toList();
             return new CatalogUpdate(
                     change.since(), change.revision(), configurationVersion, 0, changed, List.copyOf(change.removed()));
