--- a/coppershelf/src/test/java/io/coppershelf/proxy/ServerNoticesTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ServerNoticesTest.java
@@ -87,4 +87,21 @@
             assertThat(pausing.received().size()).isAtMost(1);
         }
     }
+
+    /** Guards against a server that gets far more requests than the limit that it names. */
+    @Test
+    void serverThatNamesALimitGetsNoMoreThanThat() throws IOException {
+        try (FakeBackendServer limited =
+                        FakeBackendServer.start(request -> ProxyFixture.answer(request, 200, "whole", "Limit: 1"));
+                FakeBackendServer other =
+                        FakeBackendServer.start(request -> ProxyFixture.answer(request, 200, "whole"))) {
+            proxy.serve(limited, other);
+            long startNanos = System.nanoTime();
+            for (int i = 0; i < 60; i++) {
+                assertThat(proxy.call("POST", "/once/" + i).status()).isEqualTo(200);
+            }
+            long seconds = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - startNanos) + 1;
+            assertThat((long) limited.received().size()).isAtMost(1 + seconds);
+        }
+    }
 }
