Share the limit that a server names between all VMs

Callers of a server in need: it named a limit of 2.5 requests a second for all VMs together and got 29 in 4 s (allowed 20), another with 1 a second got 26 (allowed 11).

Cause: the header Server-Limit was unknown, so a limited server got as many requests as the others (9.8 and 12.0 a second beside 10.8 and 12.5). Class: a limit on the fleet that no VM can keep alone.

Change: the VM that receives the limit tells the others. The VMs take turns in the order of their ranks: with N VMs and a limit L each may send one request every N / (0.8 L) seconds, within 3 s of its turn, so turns are not saved up. While all servers of a service pause or are at their limit, callers are refused at once with the time until some VM has a turn. A signed answer without the header ends the limit; a refusal from a queue does not. What servers state in answers moves to ServerNotices.

Why it works: in any 4 s at most the turns of 7 s can be used, 0.8 x 7 L = 5.6 L; 6 L + 5 are allowed. It needs no counts from other VMs, only their number and order, so it holds while reports are late or partial.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Chooses the server with the lowest expected loss: the sum of the losses due to the probability that it fails the
@@ -52,6 +53,8 @@
     private final HealthEstimates estimates;
     private final FleetLoad fleetLoad;
     private final IdleServerTracker idleServers;
+    private final ServerLimits limits;
+    private final Supplier<FleetPosition> position;
     private final Random random;
     private final Map<String, ServerStats> statsByServer = new HashMap<>();
 
@@ -62,17 +65,23 @@
      * @param estimates the health estimates of the servers
      * @param fleetLoad the requests that other VMs have in flight
      * @param idleServers finds the servers that need a request to keep the floor
+     * @param limits the limits that the servers name
+     * @param position returns the position of this VM among the live VMs
      */
     public ServerChooser(
             String dataCentre,
             HealthEstimates estimates,
             FleetLoad fleetLoad,
             IdleServerTracker idleServers,
+            ServerLimits limits,
+            Supplier<FleetPosition> position,
             Random random) {
         this.dataCentre = dataCentre;
         this.estimates = estimates;
         this.fleetLoad = fleetLoad;
         this.idleServers = idleServers;
+        this.limits = limits;
+        this.position = position;
         this.random = random;
     }
 
@@ -88,7 +97,7 @@
     }
 
     /**
-     * Returns the server for a request, empty if all servers of the service are excluded or pause.
+     * Returns the server for a request, empty if all servers of the service are excluded, pause or are at their limit.
      *
      * @param servers the servers of the service that accept requests
      * @param isLastAttempt whether the request can't be retried if the server fails it
@@ -116,13 +125,29 @@
         return servers.stream()
                 .filter(server -> idleServers.covers(server.dataCentre()))
                 .filter(server -> !stats(server).isInBackoff(nowNanos))
-                .filter(server -> stats(server).remainingPauseNanos(nowNanos) == 0)
+                .filter(server -> remainingWaitNanos(server, nowNanos) == 0)
                 .filter(server -> estimatedLoad(server, nowNanos) < server.slots())
                 .filter(server ->
                         estimates.estimate(stats(server).key(), nowNanos).allowsTrialRequest(nowNanos))
                 .toList();
     }
 
+    private long remainingWaitNanos(BackendServer server, long nowNanos) {
+        ServerStats stats = stats(server);
+        stats.limit(limits.limit(stats.code()), position.get(), nowNanos);
+        return stats.remainingWaitNanos(nowNanos);
+    }
+
+    /**
+     * Records the limit that a server names in an answer.
+     *
+     * @param perSecond the requests of all VMs a second, empty if it names none
+     * @return whether other VMs need to know it
+     */
+    public boolean recordLimit(BackendServer server, Optional<Double> perSecond, long nowNanos) {
+        return limits.record(stats(server).code(), perSecond, nowNanos);
+    }
+
     private double estimatedLoad(BackendServer server, long nowNanos) {
         ServerStats stats = stats(server);
         return stats.estimatedLoad(fleetLoad.inFlightOfOthers(stats.code()), nowNanos);
@@ -133,7 +158,7 @@
         BackendServer best = null;
         double bestLoss = Double.POSITIVE_INFINITY;
         for (BackendServer server : servers) {
-            if (excluded.contains(server.id()) || stats(server).remainingPauseNanos(nowNanos) > 0) {
+            if (excluded.contains(server.id()) || remainingWaitNanos(server, nowNanos) > 0) {
                 continue;
             }
             double loss = loss(server, kind, isLastAttempt, nowNanos);
@@ -146,12 +171,13 @@
     }
 
     /**
-     * Returns the time after which a caller may retry if all servers requested a pause: until the first of them accepts
-     * requests again, with a random part that spreads the callers. Empty if a server accepts requests now.
+     * Returns the time after which a caller may retry if all servers requested a pause or are at their limit: until the
+     * first of them accepts requests again, with a random part that spreads the callers. Empty if a server accepts
+     * requests now.
      */
     public Optional<Duration> pause(List<BackendServer> servers, long nowNanos) {
         return servers.stream()
-                .map(server -> stats(server).remainingPauseNanos(nowNanos))
+                .map(server -> remainingWaitNanos(server, nowNanos))
                 .min(Comparator.naturalOrder())
                 .filter(remaining -> remaining > 0)
                 .map(remaining -> Duration.ofNanos(
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerStats.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerStats.java
@@ -26,6 +26,7 @@
     private long backoffUntilNanos;
     private int consecutiveFailures;
     private Optional<Long> pausedUntilNanos = Optional.empty();
+    private Optional<RequestSlots> slots = Optional.empty();
 
     ServerStats(BackendServer server) {
         startedMillis = server.startedMillis();
@@ -49,8 +50,9 @@
     }
 
     /** Counts the start of a request to the server. */
-    public void requestStarted() {
+    public void requestStarted(long nowNanos) {
         inFlight++;
+        slots.ifPresent(limited -> limited.use(nowNanos));
     }
 
     /** Counts the end of a request. */
@@ -100,6 +102,27 @@
         return pausedUntilNanos.map(until -> Math.max(0, until - nowNanos)).orElse(0L);
     }
 
+    /** Applies the limit that the server names, empty if it names none. */
+    void limit(Optional<ServerLimits.Limit> limit, FleetPosition position, long nowNanos) {
+        slots = limit.map(named -> {
+            RequestSlots current =
+                    slots.orElseGet(() -> new RequestSlots(named.perSecond(), position, named.sinceNanos()));
+            current.update(named.perSecond(), position, nowNanos);
+            return current;
+        });
+    }
+
+    /**
+     * Returns the time until the server is likely to accept a request of some VM, as it requested a pause of this one
+     * or is at its limit; 0 if this VM may send a request now.
+     */
+    long remainingWaitNanos(long nowNanos) {
+        long limitNanos = slots.filter(limited -> !limited.isOpen(nowNanos))
+                .map(RequestSlots::fleetIntervalNanos)
+                .orElse(0L);
+        return Math.max(remainingPauseNanos(nowNanos), limitNanos);
+    }
+
     /**
      * Returns the estimated number of requests that the server has, from its own report and the requests that the VMs
      * have in flight.
--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -84,6 +84,7 @@
                 observations.estimates(),
                 observations.load(),
                 observations.idleServers(),
+                observations.limits(),
                 budget,
                 settings.dataCentre(),
                 registry,
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetObservations.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetObservations.java
@@ -4,6 +4,7 @@
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.IdleServerTracker;
+import io.coppershelf.dispatch.ServerLimits;
 import io.coppershelf.health.estimate.HealthEstimate;
 import io.coppershelf.health.estimate.HealthEstimates;
 import io.coppershelf.health.estimate.Observation;
@@ -19,15 +20,21 @@
  * @param estimates the health estimates of the servers
  * @param load the requests that other VMs have in flight at each server
  * @param idleServers the times of the last requests of the servers, which show the idle ones
+ * @param limits the limits that the servers name
  * @param keysByCode the keys of the servers by the hashes that identify them in messages
  */
 public record FleetObservations(
-        HealthEstimates estimates, FleetLoad load, IdleServerTracker idleServers, Map<Long, String> keysByCode) {
+        HealthEstimates estimates,
+        FleetLoad load,
+        IdleServerTracker idleServers,
+        ServerLimits limits,
+        Map<Long, String> keysByCode) {
     private static final double PER_MILLE = 1000;
 
     /** Returns an instance without observations. */
     public static FleetObservations create() {
-        return new FleetObservations(new HealthEstimates(), new FleetLoad(), new IdleServerTracker(), new HashMap<>());
+        return new FleetObservations(
+                new HealthEstimates(), new FleetLoad(), new IdleServerTracker(), new ServerLimits(), new HashMap<>());
     }
 
     /**
@@ -75,5 +82,6 @@
         keysByCode.clear();
         keys.forEach(key -> keysByCode.put(FleetLoad.codeOf(key), key));
         idleServers.retain(keysByCode.keySet());
+        limits.retain(keysByCode.keySet());
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -8,6 +8,7 @@
 import io.coppershelf.catalog.FleetConfiguration;
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.catalog.ServersInForce;
+import io.coppershelf.dispatch.FleetPosition;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
 import io.coppershelf.health.estimate.Observation;
@@ -58,7 +59,7 @@
     private long ticks;
     private long lastTickNanos;
     private volatile Catalog catalog = Catalog.EMPTY;
-    private volatile int fleetSize = Membership.ASSUMED_FLEET_SIZE;
+    private volatile FleetPosition position = new FleetPosition(0, Membership.ASSUMED_FLEET_SIZE);
     private volatile boolean isStopping;
 
     /** Creates a state with an empty catalog. */
@@ -103,8 +104,8 @@
     }
 
     @Override
-    public int fleetSize() {
-        return fleetSize;
+    public FleetPosition fleetPosition() {
+        return position;
     }
 
     @Override
@@ -140,6 +141,11 @@
         });
     }
 
+    @Override
+    public void serverLimited(BackendServer server, Optional<Double> perSecond) {
+        loop.execute(() -> reporting.limited(server, perSecond));
+    }
+
     @Override
     public void loadChanged(BackendServer server, int inFlight, boolean isStart) {
         loop.execute(() -> reporting.loadChanged(server, inFlight, isStart));
@@ -160,13 +166,17 @@
         if (ticks % TICKS_PER_GOSSIP == 1) {
             observations.load().expire(now);
             membership.nextGossipTarget(now).ifPresent(receiver -> messenger.send(receiver, members(true)));
-            fleetSize = membership.fleetSize(now());
+            updatePosition(now);
         }
         if (!isReading && schedule.isDue(messenger.rank(now), membership.ageNanos(now), now)) {
             read();
         }
     }
 
+    private void updatePosition(long nowNanos) {
+        position = new FleetPosition(messenger.rank(nowNanos), membership.fleetSize(nowNanos));
+    }
+
     /** Records an outage of the platform while no reading of any VM has confirmed the catalog for some time. */
     private void detectOutage(long nowNanos) {
         if (schedule.ageNanos(nowNanos).orElse(0) > OUTAGE_AGE_NANOS) {
@@ -187,7 +197,7 @@
         membership.recordContact(sender, now());
         if (message instanceof MeshMessage.Members members) {
             boolean hasNew = membership.merge(members.members(), now());
-            fleetSize = membership.fleetSize(now());
+            updatePosition(now());
             if (hasNew || members.isReplyRequested()) {
                 messenger.send(sender, new MeshMessage.Members(membership.nextEntries(hasNew, now()), false));
             }
@@ -197,6 +207,8 @@
             reporting.apply(summary);
         } else if (message instanceof MeshMessage.ServerLeaving leaving) {
             applyLeaving(leaving.serverKey(), sender.toString());
+        } else if (message instanceof MeshMessage.ServerLimit limit) {
+            reporting.apply(sender, limit);
         } else if (message instanceof MeshMessage.CatalogUpdate update) {
             metrics.recordUpdate(applyUpdate(update));
         }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -21,6 +21,7 @@
     private static final int CATALOG_UPDATE = 3;
     private static final int SERVER_REPORT = 4;
     private static final int SERVER_LEAVING = 5;
+    private static final int SERVER_LIMIT = 6;
 
     private MeshCodec() {}
 
@@ -69,6 +70,10 @@
                             MessageFields.readList(unpacker, MessageUnpacker::unpackInt),
                             MessageFields.readList(unpacker, MeshCodec::readObservation));
                 case SERVER_LEAVING -> new MeshMessage.ServerLeaving(unpacker.unpackString());
+                case SERVER_LIMIT ->
+                    new MeshMessage.ServerLimit(
+                            unpacker.unpackString(),
+                            MessageFields.readOptional(unpacker, MessageUnpacker::unpackDouble));
                 default -> throw new IOException("unknown message type " + type);
             };
         } catch (RuntimeException e) {
@@ -94,6 +99,10 @@
         } else if (message instanceof MeshMessage.ServerLeaving leaving) {
             packer.packInt(SERVER_LEAVING);
             packer.packString(leaving.serverKey());
+        } else if (message instanceof MeshMessage.ServerLimit limit) {
+            packer.packInt(SERVER_LIMIT);
+            packer.packString(limit.serverKey());
+            MessageFields.writeOptional(packer, limit.perSecond(), MessagePacker::packDouble);
         } else if (message instanceof MeshMessage.CatalogUpdate update) {
             packer.packInt(CATALOG_UPDATE);
             writeRevision(packer, update.since());
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -53,6 +53,14 @@
      */
     record ServerLeaving(String serverKey) implements MeshMessage {}
 
+    /**
+     * A limit that a server names in its answers, which the sender has received.
+     *
+     * @param serverKey the server and its incarnation
+     * @param perSecond the requests a second that it accepts from all VMs together, empty if it names no limit any more
+     */
+    record ServerLimit(String serverKey, Optional<Double> perSecond) implements MeshMessage {}
+
     /**
      * The changes that the sender read from the platform.
      *
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
@@ -78,6 +78,19 @@
         observations.recordSummary(summary, System.nanoTime());
     }
 
+    /** Reports the limit that a server names in answers to this VM. */
+    void limited(BackendServer server, Optional<Double> perSecond) {
+        changeLog.limitChanged(server.key(), perSecond, StateChangeLog.OWN_REQUEST);
+        messenger.sendToAll(new MeshMessage.ServerLimit(server.key(), perSecond), System.nanoTime());
+    }
+
+    /** Applies a limit that another VM reports. */
+    void apply(InetSocketAddress sender, MeshMessage.ServerLimit limit) {
+        if (observations.limits().record(FleetLoad.codeOf(limit.serverKey()), limit.perSecond(), System.nanoTime())) {
+            changeLog.limitChanged(limit.serverKey(), limit.perSecond(), sender);
+        }
+    }
+
     /** Sends the reports and the summary that are due. */
     void sendDue(ServerList servers) {
         reportersByDataCentre.keySet().forEach(this::send);
--- a/coppershelf/src/main/java/io/coppershelf/mesh/StateChangeLog.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/StateChangeLog.java
@@ -53,6 +53,13 @@
                         after.unhealthyProbabilityAt(nowNanos)));
     }
 
+    /** Logs the limit that a server names, or that it names none any more. */
+    void limitChanged(String serverKey, Optional<Double> perSecond, Object source) {
+        log.important(
+                perSecond.isPresent() ? "server-limited" : "server-limit-ended",
+                Fields.of("server", serverKey, "perSecond", perSecond.orElse(0.0), "source", source.toString()));
+    }
+
     /** Logs which servers joined, left or changed, if any. */
     void serversChanged(ServerList before, ServerList after, String source) {
         List<String> changes = new ArrayList<>();
--- a/coppershelf/src/main/java/io/coppershelf/proxy/HeaderNames.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/HeaderNames.java
@@ -9,6 +9,7 @@
  * @param signature the signature that proves that an answer is from the server
  * @param notRun set by a server that has not run the request
  * @param leaving set by a server that leaves and wants no new requests
+ * @param limit the requests a second that a server accepts from all VMs together
  * @param load running requests, queued requests and slots of the server
  */
 public record HeaderNames(
@@ -18,4 +19,5 @@
         String signature,
         String notRun,
         String leaving,
+        String limit,
         String load) {}
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -116,12 +116,14 @@
 
     @Override
     public boolean canRetry() {
-        return context.budget().canAcquire(service, context.state().fleetSize(), System.nanoTime());
+        return context.budget()
+                .canAcquire(service, context.state().fleetPosition().size(), System.nanoTime());
     }
 
     @Override
     public boolean tryAcquireRetry() {
-        return context.budget().tryAcquire(service, context.state().fleetSize(), System.nanoTime());
+        return context.budget()
+                .tryAcquire(service, context.state().fleetPosition().size(), System.nanoTime());
     }
 
     @Override
@@ -190,7 +192,7 @@
                 .configuration()
                 .map(configuration -> configuration.connectionCaps().get(service))
                 .orElse(DEFAULT_CONNECTION_CAP);
-        return Math.max(MIN_CONNECTIONS, cap / context.state().fleetSize());
+        return Math.max(MIN_CONNECTIONS, cap / context.state().fleetPosition().size());
     }
 
     private void write(ServerAttempt attempt, HttpConnection connection) {
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
@@ -3,14 +3,11 @@
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.dispatch.ChoiceInputs;
 import io.coppershelf.dispatch.ServerStats;
-import io.coppershelf.eventlog.Fields;
 import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.http.AnswerListener;
 import io.coppershelf.http.HttpAnswer;
 import io.coppershelf.http.HttpConnection;
-import io.coppershelf.http.RetryAfter;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import java.time.Duration;
 import java.util.Locale;
 import java.util.Optional;
 
@@ -51,6 +48,7 @@
     private final String requestId;
     private final Listener listener;
     private final ServerStats stats;
+    private final ServerNotices notices;
     private final ChoiceInputs inputs;
     private final long startedNanos = System.nanoTime();
     private Optional<HttpConnection> connection = Optional.empty();
@@ -66,7 +64,8 @@
         this.listener = listener;
         stats = context.chooser().stats(server);
         inputs = context.chooser().inputs(server, startedNanos);
-        stats.requestStarted();
+        notices = new ServerNotices(context, server, stats);
+        stats.requestStarted(startedNanos);
         context.state().loadChanged(server, stats.inFlight(), true);
     }
 
@@ -140,11 +139,7 @@
         if (isEnded) {
             return;
         }
-        recordLoad(received);
-        if (received.headers().contains(context.names().leaving())) {
-            context.state().serverLeaving(server);
-        }
-        boolean wantsPause = recordPause(received);
+        boolean wantsPause = notices.record(received);
         if (isRefusal(received)) {
             endRefused(received, wantsPause);
             return;
@@ -197,34 +192,10 @@
         end(End.NOT_RUN, "status " + received.status() + (wantsPause ? ", pause requested" : ""));
     }
 
-    /** Records a pause that the server requests with a refusal; returns whether it does. */
-    private boolean recordPause(HttpAnswer received) {
-        if (received.status() != STATUS_UNAVAILABLE) {
-            return false;
-        }
-        Optional<Duration> pause = RetryAfter.parse(received.headers());
-        pause.ifPresent(requested -> stats.recordPause(requested.toNanos(), System.nanoTime()));
-        return pause.isPresent();
-    }
-
     private static boolean isRefusalStatus(int status) {
         return status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY || status == STATUS_REQUEST_TIMEOUT;
     }
 
-    private void recordLoad(HttpAnswer received) {
-        String header = received.headers().get(context.names().load());
-        if (header == null) {
-            return;
-        }
-        String[] parts = header.split(",", -1);
-        try {
-            int load = Integer.parseInt(parts[0].trim()) + Integer.parseInt(parts[1].trim());
-            stats.recordReportedLoad(load, System.nanoTime());
-        } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
-            context.log().routine("load-unreadable", Fields.of("server", server.id(), "value", header));
-        }
-    }
-
     private void end(End end, String detail) {
         isEnded = true;
         stats.requestEnded();
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -7,6 +7,7 @@
 import io.coppershelf.dispatch.FleetRetryBudget;
 import io.coppershelf.dispatch.IdleServerTracker;
 import io.coppershelf.dispatch.ServerChooser;
+import io.coppershelf.dispatch.ServerLimits;
 import io.coppershelf.dispatch.WeightedRoundRobin;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.health.estimate.HealthEstimates;
@@ -67,6 +68,7 @@
             HealthEstimates estimates,
             FleetLoad fleetLoad,
             IdleServerTracker idleServers,
+            ServerLimits limits,
             FleetRetryBudget budget,
             String dataCentre,
             PrometheusRegistry registry,
@@ -78,7 +80,7 @@
                 loop,
                 names,
                 state,
-                new ServerChooser(dataCentre, estimates, fleetLoad, idleServers, random),
+                new ServerChooser(dataCentre, estimates, fleetLoad, idleServers, limits, state::fleetPosition, random),
                 budget,
                 new WeightedRoundRobin(random),
                 new ServerConnectionPool(new HttpConnector(loop, CONNECT_TIMEOUT, bodies)),
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
@@ -22,7 +22,8 @@
     private final HealthEstimates estimates = new HealthEstimates();
     private final FleetLoad fleetLoad = new FleetLoad();
     private final IdleServerTracker idleServers = new IdleServerTracker();
-    private final ServerChooser chooser = new ServerChooser("here", estimates, fleetLoad, idleServers, new Random(7));
+    private final ServerChooser chooser = new ServerChooser(
+            "here", estimates, fleetLoad, idleServers, new ServerLimits(), () -> FleetPosition.ALONE, new Random(7));
     private final BackendServer near = Catalogs.server("near", "here");
     private final BackendServer far = Catalogs.server("far", "there");
 
--- a/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
@@ -93,6 +93,21 @@
         assertThat(accepts(later, "a")).isFalse();
     }
 
+    /** Guards against VMs that each keep the limit of a server for themselves. */
+    @Test
+    void limitThatAServerNamesReachesTheOtherVm() throws InterruptedException {
+        FakePlatform platform = new FakePlatform(Optional.of(Snapshots.of(7)));
+        FleetObservations observations = FleetObservations.create();
+        FleetState told = start(first, platform);
+        FleetState other = start(second, platform, observations);
+        Conditions.await(() -> told.fleetPosition().size() == 2 && hasServer(other, "a"));
+        BackendServer limited = told.catalog().servers().server("a").orElseThrow();
+        told.serverLimited(limited, Optional.of(2.5));
+        Conditions.await(() -> observations.limits().perSecond(limited.key()).equals(Optional.of(2.5)));
+        told.serverLimited(limited, Optional.empty());
+        Conditions.await(() -> observations.limits().perSecond(limited.key()).isEmpty());
+    }
+
     @Test
     void vmsWithoutACatalogAreNotReady() throws InterruptedException {
         FleetState one = start(first, new FakePlatform(Optional.empty()));
@@ -158,12 +173,16 @@
     }
 
     private FleetState start(InetSocketAddress address, CatalogReader platform) {
+        return start(address, platform, FleetObservations.create());
+    }
+
+    private FleetState start(InetSocketAddress address, CatalogReader platform, FleetObservations observations) {
         Random random = new Random(1);
         Membership membership = new Membership(address, "here", 1, List.of(first, second), random, System.nanoTime());
         FleetState state = new FleetState(
                 loops.next(),
                 platform,
-                FleetObservations.create(),
+                observations,
                 membership,
                 random,
                 new MeshMetrics(new PrometheusRegistry()),
--- a/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 final class MeshCodecTest {
@@ -23,6 +24,8 @@
                         List.of(new MeshMessage.ServerObservation("i-1@5", Observation.STALL))),
                 new MeshMessage.ServerSummary(List.of(-4L, 7L), List.of(0, 3), List.of(2, 995)),
                 new MeshMessage.ServerLeaving("i-1@5"),
+                new MeshMessage.ServerLimit("i-1@5", Optional.of(2.5)),
+                new MeshMessage.ServerLimit("i-1@5", Optional.empty()),
                 new MeshMessage.CatalogUpdate(
                         Catalogs.revision(1),
                         Catalogs.revision(2),
--- a/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
@@ -2,8 +2,10 @@
 
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.Catalog;
+import io.coppershelf.dispatch.FleetPosition;
 import io.coppershelf.health.estimate.Observation;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A control state that a test sets. */
@@ -11,6 +13,7 @@
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile boolean isStopping;
     private final List<String> leaving = new CopyOnWriteArrayList<>();
+    private final List<Optional<Double>> limits = new CopyOnWriteArrayList<>();
     private final List<Observation> observations = new CopyOnWriteArrayList<>();
 
     void use(Catalog newCatalog) {
@@ -31,8 +34,8 @@
     }
 
     @Override
-    public int fleetSize() {
-        return 1;
+    public FleetPosition fleetPosition() {
+        return FleetPosition.ALONE;
     }
 
     @Override
@@ -55,6 +58,16 @@
         return leaving;
     }
 
+    @Override
+    public void serverLimited(BackendServer server, Optional<Double> perSecond) {
+        limits.add(perSecond);
+    }
+
+    /** Returns the limits that servers named, in their order. */
+    List<Optional<Double>> limits() {
+        return limits;
+    }
+
     @Override
     public void observed(BackendServer server, Observation observation) {
         observations.add(observation);
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -12,6 +12,7 @@
 import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.FleetRetryBudget;
 import io.coppershelf.dispatch.IdleServerTracker;
+import io.coppershelf.dispatch.ServerLimits;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.health.estimate.HealthEstimates;
 import io.coppershelf.testing.Catalogs;
@@ -35,7 +36,7 @@
 /** A traffic path on the loopback interface with routes of each kind to one service. */
 final class ProxyFixture implements AutoCloseable {
     static final HeaderNames NAMES =
-            new HeaderNames("Request-Id", "Deadline", "Target", "Signature", "Not-Run", "Leaving", "Load");
+            new HeaderNames("Request-Id", "Deadline", "Target", "Signature", "Not-Run", "Leaving", "Limit", "Load");
 
     private static final int MAX_HEAD_BYTES = 2000;
     private static final int MAX_BODY_BYTES = 5000;
@@ -55,6 +56,7 @@
                 new HealthEstimates(),
                 new FleetLoad(),
                 new IdleServerTracker(),
+                new ServerLimits(),
                 new FleetRetryBudget(0.2, 58, Duration.ofSeconds(10)),
                 "here",
                 new PrometheusRegistry(),
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ServerNoticesTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ServerNoticesTest.java
@@ -7,7 +7,9 @@
 import io.coppershelf.testing.FakeBackendServer;
 import io.coppershelf.testing.RawCaller;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -104,4 +106,64 @@
             assertThat((long) limited.received().size()).isAtMost(1 + seconds);
         }
     }
+
+    @Test
+    void requestsAreRefusedAtOnceWithATimeToRetryWhileAllServersAreAtTheirLimit() throws IOException {
+        try (FakeBackendServer limited =
+                FakeBackendServer.start(request -> ProxyFixture.answer(request, 200, "whole", "Limit: 0.5"))) {
+            proxy.serve(limited);
+            assertThat(proxy.call("POST", "/once/1").status()).isEqualTo(200);
+            long startNanos = System.nanoTime();
+            RawCaller.Reply refused = proxy.call("POST", "/once/2");
+            assertThat(refused.status()).isEqualTo(503);
+            assertThat(Double.parseDouble(refused.header("Retry-After"))).isGreaterThan(1.0);
+            assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos))
+                    .isLessThan(1000);
+            assertThat(limited.received()).hasSize(1);
+        }
+    }
+
+    @Test
+    void limitEndsWithAnAnswerThatNamesNone() throws IOException, InterruptedException {
+        AtomicBoolean isLimited = new AtomicBoolean(true);
+        try (FakeBackendServer server = FakeBackendServer.start(
+                request -> ProxyFixture.answer(request, 200, "whole", isLimited.get() ? "Limit: 2" : "Other: 1"))) {
+            proxy.serve(server);
+            proxy.call("POST", "/once/1");
+            isLimited.set(false);
+            TimeUnit.MILLISECONDS.sleep(500);
+            for (int i = 0; i < 10; i++) {
+                assertThat(proxy.call("POST", "/once/" + i).status()).isEqualTo(200);
+            }
+            assertThat(proxy.state().limits())
+                    .containsExactly(Optional.of(2.0), Optional.empty())
+                    .inOrder();
+        }
+    }
+
+    /** Guards against a limit that ends with a refusal from the server's queue, which states nothing. */
+    @Test
+    void limitDoesNotEndWithARefusalThatNamesNone() throws IOException {
+        AtomicBoolean isFirst = new AtomicBoolean(true);
+        try (FakeBackendServer server = FakeBackendServer.start(request -> isFirst.getAndSet(false)
+                ? ProxyFixture.answer(request, 200, "whole", "Limit: 1000")
+                : request.rawAnswer(503, "full", "Not-Run: 1", "Content-Length: 4"))) {
+            proxy.serve(server);
+            proxy.call("POST", "/once/1");
+            proxy.call("POST", "/once/2");
+            assertThat(proxy.state().limits()).containsExactly(Optional.of(1000.0));
+        }
+    }
+
+    @Test
+    void unreadableLimitIsIgnored() throws IOException {
+        try (FakeBackendServer server =
+                FakeBackendServer.start(request -> ProxyFixture.answer(request, 200, "whole", "Limit: few"))) {
+            proxy.serve(server);
+            for (int i = 0; i < 5; i++) {
+                assertThat(proxy.call("POST", "/once/" + i).status()).isEqualTo(200);
+            }
+            assertThat(proxy.state().limits()).isEmpty();
+        }
+    }
 }
