--- a/coppershelf/src/main/java/io/coppershelf/dispatch/RequestSlots.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RequestSlots.java
@@ -8,8 +8,6 @@
  * VMs would be used together in a burst. Free of I/O and clocks; not thread-safe.
  */
 final class RequestSlots {
-    /** Share of the limit that is used; the rest covers VMs that see fewer others than there are. */
-    private static final double USED_SHARE = 0.8;
     /** Time for which a turn can be used; in this time most VMs have a request for the service. */
     static final long OPEN_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -56,7 +54,7 @@
 
     /** Returns the mean time between two turns of any VM, in nanoseconds. */
     long fleetIntervalNanos() {
-        return (long) (SECOND_NANOS / (USED_SHARE * perSecond));
+        return (long) (SECOND_NANOS / perSecond);
     }
 
     private void skipMissed(long nowNanos) {
@@ -68,6 +66,6 @@
     }
 
     private static long intervalNanos(double perSecond, FleetPosition position) {
-        return Math.max(1, (long) (position.size() * SECOND_NANOS / (USED_SHARE * perSecond)));
+        return Math.max(1, (long) (position.size() * SECOND_NANOS / perSecond));
     }
 }
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/FleetLimitTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/FleetLimitTest.java
@@ -63,10 +63,10 @@
     }
 
     @Test
-    void limitedServersAreStillUsed() {
-        play(3, 36, 55, 0);
-        assertThat(sent(servers.get(0), 10 * SECOND, 40 * SECOND)).isAtLeast(15);
-        assertThat(sent(servers.get(1), 10 * SECOND, 40 * SECOND)).isAtLeast(38);
+    void limitedServersGetNineTenthsOfTheirLimitUnderLoad() {
+        play(3, 36, 110, 0);
+        assertThat(sent(servers.get(0), 10 * SECOND, 50 * SECOND)).isAtLeast(36);
+        assertThat(sent(servers.get(1), 10 * SECOND, 50 * SECOND)).isAtLeast(90);
         assertThat(refused).isEqualTo(0);
     }
 
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/RequestSlotsTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RequestSlotsTest.java
@@ -9,8 +9,8 @@
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final FleetPosition FIRST_OF_TEN = new FleetPosition(0, 10);
 
-    /** The turns of a VM of ten at a server with a limit of one a second, of which 0.8 are used. */
-    private static final long INTERVAL = 12_500 * TimeUnit.MILLISECONDS.toNanos(1);
+    /** The time between the turns of a VM of ten at a server with a limit of one a second. */
+    private static final long INTERVAL = 10 * SECOND;
 
     private final RequestSlots slots = new RequestSlots(1, FIRST_OF_TEN, 0);
 
@@ -54,7 +54,7 @@
                 sent++;
             }
         }
-        assertThat(sent).isAtLeast(790);
-        assertThat(sent).isAtMost(801);
+        assertThat(sent).isAtLeast(990);
+        assertThat(sent).isAtMost(1001);
     }
 }
