Give VMs that have just started random ranks for their turns

A server in need whose fleet starts at once, as after a loss of power, would get one request of every VM at the same moment: a VM that does not know the others yet has the first rank, and so the first turn. VMs that have run for less than five seconds, which already assume a large fleet, now take a random rank. MembershipTest.vmsThatStartTogetherTakeDifferentRanks guards it; without the change the 36 VMs had one rank. Found by reading, not seen in a play.

--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -59,7 +59,7 @@
     private long ticks;
     private long lastTickNanos;
     private volatile Catalog catalog = Catalog.EMPTY;
-    private volatile FleetPosition position = new FleetPosition(0, Membership.ASSUMED_FLEET_SIZE);
+    private volatile FleetPosition position;
     private volatile boolean isStopping;
 
     /** Creates a state with an empty catalog. */
@@ -75,6 +75,7 @@
         this.reader = reader;
         this.observations = observations;
         this.membership = membership;
+        position = membership.position(0, now());
         schedule = new PlatformReadSchedule(random);
         this.metrics = metrics;
         this.log = log;
@@ -174,7 +175,7 @@
     }
 
     private void updatePosition(long nowNanos) {
-        position = new FleetPosition(messenger.rank(nowNanos), membership.fleetSize(nowNanos));
+        position = membership.position(messenger.rank(nowNanos), nowNanos);
     }
 
     /** Records an outage of the platform while no reading of any VM has confirmed the catalog for some time. */
--- a/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
@@ -1,5 +1,6 @@
 package io.coppershelf.mesh;
 
+import io.coppershelf.dispatch.FleetPosition;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -40,6 +41,7 @@
     private final List<InetSocketAddress> seeds;
     private final Random random;
     private final long startedNanos;
+    private final int joiningRank;
     private final Map<InetSocketAddress, Member> members = new HashMap<>();
     private long heartbeat;
     private boolean isLeaving;
@@ -58,6 +60,7 @@
         this.seeds = seeds.stream().filter(seed -> !seed.equals(self)).toList();
         this.random = random;
         startedNanos = nowNanos;
+        joiningRank = random.nextInt(ASSUMED_FLEET_SIZE);
     }
 
     /** Returns the data centre of this VM. */
@@ -156,7 +159,21 @@
      */
     public int fleetSize(long nowNanos) {
         int known = members.size() + 1;
-        return nowNanos - startedNanos < JOINING_NANOS ? Math.max(known, ASSUMED_FLEET_SIZE) : known;
+        return isJoining(nowNanos) ? Math.max(known, ASSUMED_FLEET_SIZE) : known;
+    }
+
+    /**
+     * Returns the position of this VM in the fleet. A VM that has just started takes a random rank, since VMs that
+     * start together would all take the first ones.
+     *
+     * @param rank the rank of this VM among the live ones that it knows
+     */
+    FleetPosition position(int rank, long nowNanos) {
+        return new FleetPosition(isJoining(nowNanos) ? joiningRank : rank, fleetSize(nowNanos));
+    }
+
+    private boolean isJoining(long nowNanos) {
+        return nowNanos - startedNanos < JOINING_NANOS;
     }
 
     /** Returns the rank of this VM among the live ones, in an order that is the same on all VMs. */
--- a/coppershelf/src/test/java/io/coppershelf/mesh/MembershipTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MembershipTest.java
@@ -4,8 +4,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -52,6 +54,17 @@
         assertThat(vm.fleetSize(Membership.JOINING_NANOS)).isEqualTo(1);
     }
 
+    /** Guards against VMs that start together and all take the first turn at a server that limits its requests. */
+    @Test
+    void vmsThatStartTogetherTakeDifferentRanks() {
+        Set<Integer> ranks = new HashSet<>();
+        for (Membership vm : fleet(36, 3)) {
+            ranks.add(vm.position(0, SECOND).rank());
+            assertThat(vm.position(7, Membership.JOINING_NANOS).rank()).isEqualTo(7);
+        }
+        assertThat(ranks.size()).isAtLeast(20);
+    }
+
     @Test
     void vmWhoseClockWasSetBackBeforeItsRestartIsAccepted() {
         InetSocketAddress restarted = address(2);
