Call the times at which a VM may use a limited server turns

Slots are the requests that a server runs at a time everywhere else. RequestSlots becomes RequestTurns. FleetPosition loses a constant that only tests used.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/FleetPosition.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/FleetPosition.java
@@ -6,7 +6,4 @@
  * @param rank the rank in an order that is the same on all VMs, from 0
  * @param size the number of VMs, at least 1
  */
-public record FleetPosition(int rank, int size) {
-    /** The position of a VM that is alone. */
-    public static final FleetPosition ALONE = new FleetPosition(0, 1);
-}
+public record FleetPosition(int rank, int size) {}
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/RequestTurns.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RequestTurns.java
@@ -7,7 +7,7 @@
  * turns in the order of their ranks, and each may use its turn for a short time only: turns that were saved up on many
  * VMs would be used together in a burst. Free of I/O and clocks; not thread-safe.
  */
-final class RequestSlots {
+final class RequestTurns {
     /** Time for which a turn can be used; in this time most VMs have a request for the service. */
     static final long OPEN_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -18,17 +18,17 @@
     private long nextNanos;
 
     /**
-     * Creates the slots of a server that was not limited until now.
+     * Creates the turns at a server that was not limited until now.
      *
      * @param perSecond the limit of the requests of all VMs a second, above 0
      */
-    RequestSlots(double perSecond, FleetPosition position, long nowNanos) {
+    RequestTurns(double perSecond, FleetPosition position, long nowNanos) {
         this.perSecond = perSecond;
         intervalNanos = intervalNanos(perSecond, position);
         nextNanos = nowNanos + (long) (intervalNanos * Math.min(1, (position.rank() + 0.5) / position.size()));
     }
 
-    /** Adapts the slots to the limit and the size of the fleet; the order of the VMs' turns stays. */
+    /** Adapts the turns to the limit and the size of the fleet; the order of the VMs' turns stays. */
     void update(double newPerSecond, FleetPosition position, long nowNanos) {
         perSecond = newPerSecond;
         long newIntervalNanos = intervalNanos(newPerSecond, position);
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerStats.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerStats.java
@@ -26,7 +26,7 @@
     private long backoffUntilNanos;
     private int consecutiveFailures;
     private Optional<Long> pausedUntilNanos = Optional.empty();
-    private Optional<RequestSlots> slots = Optional.empty();
+    private Optional<RequestTurns> turns = Optional.empty();
 
     ServerStats(BackendServer server) {
         startedMillis = server.startedMillis();
@@ -52,7 +52,7 @@
     /** Counts the start of a request to the server. */
     public void requestStarted(long nowNanos) {
         inFlight++;
-        slots.ifPresent(limited -> limited.use(nowNanos));
+        turns.ifPresent(limited -> limited.use(nowNanos));
     }
 
     /** Counts the end of a request. */
@@ -104,9 +104,9 @@
 
     /** Applies the limit that the server names, empty if it names none. */
     void limit(Optional<ServerLimits.Limit> limit, FleetPosition position, long nowNanos) {
-        slots = limit.map(named -> {
-            RequestSlots current =
-                    slots.orElseGet(() -> new RequestSlots(named.perSecond(), position, named.sinceNanos()));
+        turns = limit.map(named -> {
+            RequestTurns current =
+                    turns.orElseGet(() -> new RequestTurns(named.perSecond(), position, named.sinceNanos()));
             current.update(named.perSecond(), position, nowNanos);
             return current;
         });
@@ -117,8 +117,8 @@
      * or is at its limit; 0 if this VM may send a request now.
      */
     long remainingWaitNanos(long nowNanos) {
-        long limitNanos = slots.filter(limited -> !limited.isOpen(nowNanos))
-                .map(RequestSlots::fleetIntervalNanos)
+        long limitNanos = turns.filter(limited -> !limited.isOpen(nowNanos))
+                .map(RequestTurns::fleetIntervalNanos)
                 .orElse(0L);
         return Math.max(remainingPauseNanos(nowNanos), limitNanos);
     }
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
@@ -23,7 +23,13 @@
     private final FleetLoad fleetLoad = new FleetLoad();
     private final IdleServerTracker idleServers = new IdleServerTracker();
     private final ServerChooser chooser = new ServerChooser(
-            "here", estimates, fleetLoad, idleServers, new ServerLimits(), () -> FleetPosition.ALONE, new Random(7));
+            "here",
+            estimates,
+            fleetLoad,
+            idleServers,
+            new ServerLimits(),
+            () -> new FleetPosition(0, 1),
+            new Random(7));
     private final BackendServer near = Catalogs.server("near", "here");
     private final BackendServer far = Catalogs.server("far", "there");
 
--- a/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
@@ -35,7 +35,7 @@
 
     @Override
     public FleetPosition fleetPosition() {
-        return FleetPosition.ALONE;
+        return new FleetPosition(0, 1);
     }
 
     @Override
