Read Retry-After and the limit of a server with one parser of decimal headers

ServerNotices repeated the pattern and the conversion of RetryAfter. DecimalHeader serves both, with a test of its own; the values that are accepted stay the same.

--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerNotices.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerNotices.java
@@ -3,16 +3,15 @@
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.dispatch.ServerStats;
 import io.coppershelf.eventlog.Fields;
+import io.coppershelf.http.DecimalHeader;
 import io.coppershelf.http.HttpAnswer;
 import io.coppershelf.http.RetryAfter;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.regex.Pattern;
 
 /** Records what a server states about itself in an answer: its load, that it leaves, wants a pause, or has a limit. */
 final class ServerNotices {
     private static final int STATUS_UNAVAILABLE = 503;
-    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
 
     private final TrafficContext context;
     private final BackendServer server;
@@ -58,8 +57,11 @@
             if (answer.headers().contains(context.names().signature())) {
                 recordLimit(Optional.empty());
             }
-        } else if (DECIMAL.matcher(header.trim()).matches()) {
-            recordLimit(Optional.of(Double.parseDouble(header.trim())));
+            return;
+        }
+        Optional<Double> perSecond = DecimalHeader.parse(header);
+        if (perSecond.isPresent()) {
+            recordLimit(perSecond);
         } else {
             logUnreadable("limit-unreadable", header);
         }
