--- a/coppershelf/src/main/java/io/coppershelf/mesh/BroadcastPacer.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/BroadcastPacer.java
@@ -41,12 +41,12 @@
     List<Batch> plan(int receivers, int bytes, long nowNanos) {
         long costNanos = bytes * SECOND_NANOS / BYTES_PER_SECOND;
         long burstNanos = BURST_BYTES * SECOND_NANOS / BYTES_PER_SECOND;
+        if (!hasSent || carriedAtNanos - nowNanos < 0) {
+            carriedAtNanos = nowNanos;
+            hasSent = true;
+        }
         List<Batch> batches = new ArrayList<>();
         for (int i = 0; i < receivers; i++) {
-            if (!hasSent || carriedAtNanos - nowNanos < 0) {
-                carriedAtNanos = nowNanos;
-                hasSent = true;
-            }
             carriedAtNanos += costNanos;
             add(batches, Math.max(0, carriedAtNanos - nowNanos - burstNanos));
         }
