--- a/coppershelf/src/test/java/io/coppershelf/proxy/CallerLimitsTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/CallerLimitsTest.java
@@ -4,25 +4,15 @@
 
 import io.coppershelf.testing.RawCaller;
 import java.io.IOException;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** Tests the limits on the size and duration of callers' requests over real sockets. */
 @Timeout(30)
 final class CallerLimitsTest {
-    private ProxyFixture proxy;
-
-    @BeforeEach
-    void start() throws IOException {
-        proxy = new ProxyFixture();
-    }
-
-    @AfterEach
-    void stop() {
-        proxy.close();
-    }
+    @AutoClose
+    private final ProxyFixture proxy = new ProxyFixture();
 
     @Test
     void oversizedHeadIsRefused() throws IOException {
--- a/coppershelf/src/test/java/io/coppershelf/proxy/EndlessAnswerTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/EndlessAnswerTest.java
@@ -10,8 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -26,17 +25,8 @@
     private static final long SOON_MILLIS = 2000;
     private static final String OK = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSignature: s\r\n";
 
-    private ProxyFixture proxy;
-
-    @BeforeEach
-    void start() {
-        proxy = new ProxyFixture();
-    }
-
-    @AfterEach
-    void stop() {
-        proxy.close();
-    }
+    @AutoClose
+    private final ProxyFixture proxy = new ProxyFixture();
 
     @Test
     void headWithoutEndIsLost() throws Exception {
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ServerNoticesTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ServerNoticesTest.java
@@ -10,25 +10,15 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** Tests what servers state about themselves in their answers: that they leave, or that they want a pause. */
 @Timeout(30)
 final class ServerNoticesTest {
-    private ProxyFixture proxy;
-
-    @BeforeEach
-    void start() {
-        proxy = new ProxyFixture();
-    }
-
-    @AfterEach
-    void stop() {
-        proxy.close();
-    }
+    @AutoClose
+    private final ProxyFixture proxy = new ProxyFixture();
 
     @Test
     void announcementToLeaveIsPassedOnAndTheAnswerDelivered() throws IOException, InterruptedException {
--- a/coppershelf/src/test/java/io/coppershelf/proxy/TrafficServerTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/TrafficServerTest.java
@@ -9,8 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -20,17 +19,8 @@
  */
 @Timeout(30)
 final class TrafficServerTest {
-    private ProxyFixture proxy;
-
-    @BeforeEach
-    void start() throws IOException {
-        proxy = new ProxyFixture();
-    }
-
-    @AfterEach
-    void stop() {
-        proxy.close();
-    }
+    @AutoClose
+    private final ProxyFixture proxy = new ProxyFixture();
 
     @Test
     void answerOfTheServerIsForwardedWithItsStatusBodyAndSignature() throws IOException {
