--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -48,6 +48,7 @@
     private final EventLog log;
     private final StateChangeLog changeLog;
     private final FleetMessenger messenger;
+    private final MembershipExchange exchange;
     private final ServerReporting reporting;
     private final ServersInForce servers = new ServersInForce();
     private final SnapshotSource snapshots;
@@ -59,7 +60,6 @@
     private long ticks;
     private long lastTickNanos;
     private volatile Catalog catalog = Catalog.EMPTY;
-    private volatile FleetPosition position;
     private volatile boolean isStopping;
 
     /** Creates a state with an empty catalog. */
@@ -75,12 +75,12 @@
         this.reader = reader;
         this.observations = observations;
         this.membership = membership;
-        position = membership.position(0, now());
         schedule = new PlatformReadSchedule(random);
         this.metrics = metrics;
         this.log = log;
         changeLog = new StateChangeLog(log);
         messenger = new FleetMessenger(loop, membership);
+        exchange = new MembershipExchange(membership, messenger);
         reporting = new ServerReporting(loop, messenger, observations, membership.dataCentre(), changeLog);
         snapshots = new SnapshotClient(loop, () -> membership.randomLive(now()));
         configurationFetcher = new ConfigurationFetcher(
@@ -106,7 +106,7 @@
 
     @Override
     public FleetPosition fleetPosition() {
-        return position;
+        return exchange.position();
     }
 
     @Override
@@ -122,10 +122,7 @@
     /** Marks this VM as stopping and announces that to the peers. */
     public void announceStop() {
         isStopping = true;
-        loop.execute(() -> {
-            membership.leave();
-            messenger.sendToAll(members(false), now());
-        });
+        loop.execute(() -> exchange.leave(now()));
     }
 
     @Override
@@ -166,18 +163,13 @@
         reporting.sendDue(catalog.servers());
         if (ticks % TICKS_PER_GOSSIP == 1) {
             observations.load().expire(now);
-            membership.nextGossipTarget(now).ifPresent(receiver -> messenger.send(receiver, members(true)));
-            updatePosition(now);
+            exchange.gossip(now);
         }
         if (!isReading && schedule.isDue(messenger.rank(now), membership.ageNanos(now), now)) {
             read();
         }
     }
 
-    private void updatePosition(long nowNanos) {
-        position = membership.position(messenger.rank(nowNanos), nowNanos);
-    }
-
     /** Records an outage of the platform while no reading of any VM has confirmed the catalog for some time. */
     private void detectOutage(long nowNanos) {
         if (schedule.ageNanos(nowNanos).orElse(0) > OUTAGE_AGE_NANOS) {
@@ -197,11 +189,7 @@
     private void handle(InetSocketAddress sender, MeshMessage message) {
         membership.recordContact(sender, now());
         if (message instanceof MeshMessage.Members members) {
-            boolean hasNew = membership.merge(members.members(), now());
-            updatePosition(now());
-            if (hasNew || members.isReplyRequested()) {
-                messenger.send(sender, new MeshMessage.Members(membership.nextEntries(hasNew, now()), false));
-            }
+            exchange.apply(sender, members, now());
         } else if (message instanceof MeshMessage.ServerReport report) {
             reporting.apply(sender, report);
         } else if (message instanceof MeshMessage.ServerSummary summary) {
@@ -302,10 +290,6 @@
         return catalog.configuration().map(FleetConfiguration::version).orElse(0L);
     }
 
-    private MeshMessage.Members members(boolean isReplyRequested) {
-        return new MeshMessage.Members(membership.nextEntries(false, now()), isReplyRequested);
-    }
-
     private static long now() {
         return System.nanoTime();
     }
