Name the limit in the reason of a refusal

A request that is refused since all servers are at their limit was logged, and answered, as if they had asked for a pause. Only the text changes; no test or page has the former one.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/AttemptAllocator.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/AttemptAllocator.java
@@ -15,8 +15,8 @@
     Optional<BackendServer> choose(Set<String> excluded, boolean isLastAttempt);
 
     /**
-     * Returns the time after which the caller may retry since all servers of the service requested a pause; empty if a
-     * server accepts requests.
+     * Returns the time after which the caller may retry since all servers of the service requested a pause or are at
+     * their limit; empty if a server accepts requests.
      */
     Optional<Duration> pause();
 
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
@@ -213,7 +213,9 @@
         Optional<Duration> pause = allocator.pause();
         if (pause.isPresent()) {
             return new PlanStep.Fail(
-                    ErrorKind.SERVER_REFUSED, isRefused ? "the servers asked for a pause" : "all servers pause", pause);
+                    ErrorKind.SERVER_REFUSED,
+                    isRefused ? "the servers asked for a pause" : "all servers pause or are at their limit",
+                    pause);
         }
         if (isRefused) {
             return new PlanStep.Fail(
