Tell in the log which failed requests are the same, and which servers crashed

Failed requests now have the caller's address and a fingerprint; after a lost request the VM opens a connection to the server, and logs server-crashed if that is refused. No decision depends on it yet.

--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -27,6 +27,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -61,6 +62,7 @@
     private Optional<ScheduledFuture<?>> idleTimer = Optional.empty();
     private Optional<ScheduledFuture<?>> headTimer = Optional.empty();
     private Channel channel;
+    private String callerAddress = "";
 
     CallerConnection(TrafficContext context, CallerLimits limits) {
         this.context = context;
@@ -75,6 +77,9 @@
 
     @Override
     public void channelActive(ChannelHandlerContext handlerContext) {
+        if (channel.remoteAddress() instanceof InetSocketAddress remote) {
+            callerAddress = remote.getAddress().getHostAddress();
+        }
         startIdleTimer();
     }
 
@@ -168,7 +173,13 @@
         body.readBytes(bytes);
         body = Unpooled.EMPTY_BUFFER;
         queued.add(new CallerRequest(
-                request.method(), request.uri(), request.headers(), bytes, headAtNanos, HttpUtil.isKeepAlive(request)));
+                callerAddress,
+                request.method(),
+                request.uri(),
+                request.headers(),
+                bytes,
+                headAtNanos,
+                HttpUtil.isKeepAlive(request)));
         channel.config().setAutoRead(!isReadingStopped && queued.size() < MAX_QUEUED);
         serveNext();
     }
@@ -257,7 +268,7 @@
         }
         isBusy = true;
         CallerRequest unreadable =
-                new CallerRequest(HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false);
+                new CallerRequest(callerAddress, HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false);
         new Sink(unreadable).fail(kind, reason, kind.retryAfter());
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerRequest.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerRequest.java
@@ -6,6 +6,7 @@
 /**
  * A complete request of a caller.
  *
+ * @param caller the IP address of the caller
  * @param method the method
  * @param uri path and query as received
  * @param headers the headers as received
@@ -14,4 +15,10 @@
  * @param isKeepAlive whether the caller keeps the connection open
  */
 record CallerRequest(
-        HttpMethod method, String uri, HttpHeaders headers, byte[] body, long readAtNanos, boolean isKeepAlive) {}
+        String caller,
+        HttpMethod method,
+        String uri,
+        HttpHeaders headers,
+        byte[] body,
+        long readAtNanos,
+        boolean isKeepAlive) {}
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -51,6 +51,7 @@
     private final long deadlineNanos;
     private final TypicalLatency latency;
     private final RequestPlan plan;
+    private final CrashWatch crashWatch;
     private final List<ServerAttempt> attempts = new ArrayList<>();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private boolean isEnded;
@@ -72,6 +73,7 @@
         long remainingNanos = callerTimeout.orElse(route.timeout()).toNanos() - ANSWER_TRANSFER_NANOS;
         deadlineNanos = request.readAtNanos() + Math.min(route.timeout().toNanos(), remainingNanos);
         latency = context.latency(service, route.kind().name());
+        crashWatch = new CrashWatch(context, request, requestId);
         plan = new RequestPlan(route, this, deadlineNanos, latency);
     }
 
@@ -128,11 +130,14 @@
 
     @Override
     public void ended(int number, ServerAttempt.End end, String detail) {
+        ServerAttempt attempt = attempts.get(number);
+        if (end == ServerAttempt.End.LOST) {
+            crashWatch.attemptLost(attempt.server());
+        }
         if (isEnded) {
             return;
         }
         long now = System.nanoTime();
-        ServerAttempt attempt = attempts.get(number);
         if (end == ServerAttempt.End.ANSWERED) {
             latency.add(attempt.ageNanos());
         } else {
@@ -286,6 +291,9 @@
         if (isRoutine) {
             context.log().routine("request-ended", fields);
         } else {
+            // Tell which failed requests are the same; their ids differ.
+            fields.put("caller", request.caller());
+            fields.put("fingerprint", crashWatch.fingerprint().toString());
             context.log().important("request-ended", fields);
         }
     }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerConnectionPool.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerConnectionPool.java
@@ -4,6 +4,8 @@
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.http.HttpConnection;
 import io.coppershelf.http.HttpConnector;
+import io.netty.channel.ConnectTimeoutException;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -13,6 +15,16 @@
 
 /** The connections to backend servers. Runs on the traffic thread. */
 final class ServerConnectionPool {
+    /** How a server answers a new connection. */
+    enum ServerState {
+        /** It accepts the connection. */
+        ACCEPTING,
+        /** No process listens at its address. */
+        REFUSING,
+        /** It does not answer, or the network does not reach it. */
+        UNKNOWN
+    }
+
     private final HttpConnector connector;
     private final Map<String, ServerConnections> connectionsByServer = new HashMap<>();
 
@@ -33,8 +45,7 @@
             int maxConnections,
             Consumer<HttpConnection> onOpen,
             Consumer<String> onFailure) {
-        ServerConnections connections =
-                connectionsByServer.computeIfAbsent(keyOf(server), key -> new ServerConnections(server.id()));
+        ServerConnections connections = connections(server);
         Optional<HttpConnection> idle = connections.takeIdle(maxIdleNanos);
         if (idle.isPresent()) {
             onOpen.accept(idle.get());
@@ -53,10 +64,30 @@
                     onFailure.accept(cause.toString());
                 },
                 connections.idle::addFirst,
-                closed -> {
+                connections::closed);
+    }
+
+    /**
+     * Opens a connection to find out whether a process still listens at the address of the server; the connection is
+     * kept for later requests.
+     */
+    void check(BackendServer server, Consumer<ServerState> onResult) {
+        ServerConnections connections = connections(server);
+        connections.open++;
+        connector.open(
+                server.address(),
+                connection -> {
+                    connections.idle.addFirst(connection);
+                    onResult.accept(ServerState.ACCEPTING);
+                },
+                cause -> {
                     connections.open--;
-                    connections.idle.remove(closed);
-                });
+                    boolean isRefused =
+                            cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+                    onResult.accept(isRefused ? ServerState.REFUSING : ServerState.UNKNOWN);
+                },
+                connections.idle::addFirst,
+                connections::closed);
     }
 
     /**
@@ -71,6 +102,10 @@
         });
     }
 
+    private ServerConnections connections(BackendServer server) {
+        return connectionsByServer.computeIfAbsent(keyOf(server), key -> new ServerConnections(server.id()));
+    }
+
     private static String keyOf(BackendServer server) {
         return server.id() + '@' + server.startedMillis() + '@' + server.address();
     }
@@ -84,6 +119,11 @@
             this.serverId = serverId;
         }
 
+        void closed(HttpConnection connection) {
+            open--;
+            idle.remove(connection);
+        }
+
         Optional<HttpConnection> takeIdle(long maxIdleNanos) {
             long now = System.nanoTime();
             HttpConnection mostRecent = idle.peekFirst();
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficMetrics.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficMetrics.java
@@ -13,6 +13,7 @@
 
     private final Counter requests;
     private final Counter attempts;
+    private final Counter crashes;
     private final Histogram duration;
     private final AtomicInteger inFlight = new AtomicInteger();
 
@@ -27,6 +28,10 @@
                 .help("Requests sent to backend servers by outcome")
                 .labelNames("outcome")
                 .register(registry);
+        crashes = Counter.builder()
+                .name("coppershelf_server_crashes_total")
+                .help("Crashes of backend servers while they ran a request of this VM, one for each such request")
+                .register(registry);
         duration = Histogram.builder()
                 .name("coppershelf_request_duration_seconds")
                 .help("Time from the end of a request's head to its answer")
@@ -53,6 +58,10 @@
         duration.observe(nanos / NANOS_PER_SECOND);
     }
 
+    void recordCrash() {
+        crashes.inc();
+    }
+
     void recordAttempt(String outcome) {
         attempts.labelValues(outcome).inc();
     }
