--- a/coppershelf/src/test/java/io/coppershelf/testing/FakeBackendServer.java
+++ b/coppershelf/src/test/java/io/coppershelf/testing/FakeBackendServer.java
@@ -27,6 +27,7 @@
     private final BlockingQueue<Received> arrivals = new LinkedBlockingQueue<>();
     private final BlockingQueue<Integer> closedConnections = new LinkedBlockingQueue<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final Thread acceptor = new Thread(this::accept, "fake-backend");
 
     private FakeBackendServer(ServerSocket listener, Script script) {
         this.listener = listener;
@@ -37,10 +38,22 @@
     public static FakeBackendServer start(Script script) throws IOException {
         FakeBackendServer server =
                 new FakeBackendServer(new ServerSocket(0, 50, InetAddress.getLoopbackAddress()), script);
-        new Thread(server::accept, "fake-backend").start();
+        server.acceptor.start();
         return server;
     }
 
+    /** Ends the server as a crash does: it refuses new connections when the open ones are closed. */
+    public void crash() throws IOException {
+        listener.close();
+        try {
+            // The port accepts connections until the accepting thread has returned.
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        close();
+    }
+
     /** Returns an answer after which the connection is closed. */
     public static byte[] thenClose(String answer) {
         return (answer + (char) CLOSE_MARKER).getBytes(StandardCharsets.UTF_8);
