Quarantine requests under which three servers crashed, on all VMs

Cause: no VM remembered under which requests servers crashed. A repeat has a new id and mostly reaches another VM, so each one was served, and retried once, like any other.

A request is now known by caller, method, host, path and body. A server that loses a request and then refuses a new connection has crashed; the crash goes on record at all VMs for each request that the server had. After three servers the request is refused at once as not run, for a minute, and for four times as long after each further crash. A success clears the record, so requests that were only in flight at a crash go on. Reports to the fleet move from the control state into an interface of their own, which the new reports need.

Why it works: the third crash is on record before the request is retried, and reports take milliseconds where the rule leaves seconds.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/AttemptAllocator.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/AttemptAllocator.java
@@ -20,6 +20,12 @@
      */
     Optional<Duration> pause();
 
+    /**
+     * Returns the time for which the request is kept from the servers, since too many of them crashed while they ran
+     * it; empty if it may be sent.
+     */
+    Optional<Duration> quarantine();
+
     /** Returns whether the retry budget of the service has a retry left. */
     boolean canRetry();
 
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
@@ -171,6 +171,9 @@
 
     private Optional<PlanStep> nextAttempt(String reason, long nowNanos) {
         int reached = serversReached();
+        if (allocator.quarantine().isPresent()) {
+            return Optional.empty();
+        }
         if (reached >= route.maxServers() || attempts.size() - reached >= MAX_CONNECTION_FAILURES) {
             return Optional.empty();
         }
@@ -209,6 +212,11 @@
             ErrorKind kind = isLate ? ErrorKind.DEADLINE_PASSED : ErrorKind.SERVER_LOST;
             return new PlanStep.Fail(kind, isLate ? "no answer in time" : "the answer was lost", Optional.empty());
         }
+        Optional<Duration> quarantine = allocator.quarantine();
+        if (quarantine.isPresent()) {
+            return new PlanStep.Fail(
+                    ErrorKind.REQUEST_QUARANTINED, "too many servers crashed while they ran this request", quarantine);
+        }
         boolean isRefused = attempts.stream().anyMatch(attempt -> attempt.state == AttemptState.NOT_RUN);
         Optional<Duration> pause = allocator.pause();
         if (pause.isPresent()) {
--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -86,6 +86,7 @@
                 observations.idleServers(),
                 observations.limits(),
                 budget,
+                observations.crashes(),
                 settings.dataCentre(),
                 registry,
                 log);
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetObservations.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetObservations.java
@@ -8,6 +8,7 @@
 import io.coppershelf.health.estimate.HealthEstimate;
 import io.coppershelf.health.estimate.HealthEstimates;
 import io.coppershelf.health.estimate.Observation;
+import io.coppershelf.poison.CrashRecords;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -21,6 +22,7 @@
  * @param load the requests that other VMs have in flight at each server
  * @param idleServers the times of the last requests of the servers, which show the idle ones
  * @param limits the limits that the servers name
+ * @param crashes the requests under which servers crashed
  * @param keysByCode the keys of the servers by the hashes that identify them in messages
  */
 public record FleetObservations(
@@ -28,13 +30,19 @@
         FleetLoad load,
         IdleServerTracker idleServers,
         ServerLimits limits,
+        CrashRecords crashes,
         Map<Long, String> keysByCode) {
     private static final double PER_MILLE = 1000;
 
     /** Returns an instance without observations. */
     public static FleetObservations create() {
         return new FleetObservations(
-                new HealthEstimates(), new FleetLoad(), new IdleServerTracker(), new ServerLimits(), new HashMap<>());
+                new HealthEstimates(),
+                new FleetLoad(),
+                new IdleServerTracker(),
+                new ServerLimits(),
+                new CrashRecords(),
+                new HashMap<>());
     }
 
     /**
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -11,8 +11,8 @@
 import io.coppershelf.dispatch.FleetPosition;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
-import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.proxy.ControlState;
+import io.coppershelf.proxy.FleetReports;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -81,7 +81,9 @@
         changeLog = new StateChangeLog(log);
         messenger = new FleetMessenger(loop, membership);
         exchange = new MembershipExchange(membership, messenger);
-        reporting = new ServerReporting(loop, messenger, observations, membership.dataCentre(), changeLog);
+        CrashReporting crashes =
+                new CrashReporting(messenger, observations.crashes(), () -> membership.randomLive(now()), random, log);
+        reporting = new ServerReporting(loop, messenger, observations, crashes, membership.dataCentre(), changeLog);
         snapshots = new SnapshotClient(loop, () -> membership.randomLive(now()));
         configurationFetcher = new ConfigurationFetcher(
                 reader,
@@ -125,11 +127,6 @@
         loop.execute(() -> exchange.leave(now()));
     }
 
-    @Override
-    public void observed(BackendServer server, Observation observation) {
-        loop.execute(() -> reporting.observed(server, observation));
-    }
-
     @Override
     public void serverLeaving(BackendServer server) {
         loop.execute(() -> {
@@ -140,13 +137,8 @@
     }
 
     @Override
-    public void serverLimited(BackendServer server, Optional<Double> perSecond) {
-        loop.execute(() -> reporting.limited(server, perSecond));
-    }
-
-    @Override
-    public void loadChanged(BackendServer server, int inFlight, boolean isStart) {
-        loop.execute(() -> reporting.loadChanged(server, inFlight, isStart));
+    public FleetReports reports() {
+        return reporting;
     }
 
     private void tick() {
@@ -164,6 +156,7 @@
         if (ticks % TICKS_PER_GOSSIP == 1) {
             observations.load().expire(now);
             exchange.gossip(now);
+            reporting.gossip(now);
         }
         if (!isReading && schedule.isDue(messenger.rank(now), membership.ageNanos(now), now)) {
             read();
@@ -190,16 +183,12 @@
         membership.recordContact(sender, now());
         if (message instanceof MeshMessage.Members members) {
             exchange.apply(sender, members, now());
-        } else if (message instanceof MeshMessage.ServerReport report) {
-            reporting.apply(sender, report);
-        } else if (message instanceof MeshMessage.ServerSummary summary) {
-            reporting.apply(summary);
         } else if (message instanceof MeshMessage.ServerLeaving leaving) {
             applyLeaving(leaving.serverKey(), sender.toString());
-        } else if (message instanceof MeshMessage.ServerLimit limit) {
-            reporting.apply(sender, limit);
         } else if (message instanceof MeshMessage.CatalogUpdate update) {
             metrics.recordUpdate(applyUpdate(update));
+        } else {
+            reporting.apply(sender, message);
         }
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -4,6 +4,7 @@
 import io.coppershelf.catalog.CatalogRevision;
 import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.peer.MessageFields;
+import io.coppershelf.poison.RequestFingerprint;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -22,6 +23,8 @@
     private static final int SERVER_REPORT = 4;
     private static final int SERVER_LEAVING = 5;
     private static final int SERVER_LIMIT = 6;
+    private static final int REQUEST_CRASHES = 7;
+    private static final int REQUEST_CLEARED = 8;
 
     private MeshCodec() {}
 
@@ -74,6 +77,9 @@
                     new MeshMessage.ServerLimit(
                             unpacker.unpackString(),
                             MessageFields.readOptional(unpacker, MessageUnpacker::unpackDouble));
+                case REQUEST_CRASHES ->
+                    new MeshMessage.RequestCrashes(MessageFields.readList(unpacker, MeshCodec::readCrash));
+                case REQUEST_CLEARED -> new MeshMessage.RequestCleared(readFingerprint(unpacker));
                 default -> throw new IOException("unknown message type " + type);
             };
         } catch (RuntimeException e) {
@@ -103,6 +109,12 @@
             packer.packInt(SERVER_LIMIT);
             packer.packString(limit.serverKey());
             MessageFields.writeOptional(packer, limit.perSecond(), MessagePacker::packDouble);
+        } else if (message instanceof MeshMessage.RequestCrashes crashes) {
+            packer.packInt(REQUEST_CRASHES);
+            MessageFields.writeList(packer, crashes.requests(), MeshCodec::writeCrash);
+        } else if (message instanceof MeshMessage.RequestCleared cleared) {
+            packer.packInt(REQUEST_CLEARED);
+            writeFingerprint(packer, cleared.request());
         } else if (message instanceof MeshMessage.CatalogUpdate update) {
             packer.packInt(CATALOG_UPDATE);
             writeRevision(packer, update.since());
@@ -124,6 +136,28 @@
         return new MeshMessage.ServerObservation(unpacker.unpackString(), observation(unpacker.unpackInt()));
     }
 
+    private static void writeCrash(MessagePacker packer, MeshMessage.RequestCrash crash) throws IOException {
+        writeFingerprint(packer, crash.request());
+        MessageFields.writeList(packer, crash.serverCodes(), MessagePacker::packLong);
+        packer.packLong(crash.crashedMillis());
+    }
+
+    private static MeshMessage.RequestCrash readCrash(MessageUnpacker unpacker) throws IOException {
+        return new MeshMessage.RequestCrash(
+                readFingerprint(unpacker),
+                MessageFields.readList(unpacker, MessageUnpacker::unpackLong),
+                unpacker.unpackLong());
+    }
+
+    private static void writeFingerprint(MessagePacker packer, RequestFingerprint request) throws IOException {
+        packer.packLong(request.head());
+        packer.packLong(request.body());
+    }
+
+    private static RequestFingerprint readFingerprint(MessageUnpacker unpacker) throws IOException {
+        return new RequestFingerprint(unpacker.unpackLong(), unpacker.unpackLong());
+    }
+
     private static void writeMember(MessagePacker packer, MemberEntry member) throws IOException {
         writeAddress(packer, member.address());
         packer.packString(member.dataCentre());
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -5,6 +5,7 @@
 import io.coppershelf.catalog.CatalogRevision;
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.health.estimate.Observation;
+import io.coppershelf.poison.RequestFingerprint;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -61,6 +62,22 @@
      */
     record ServerLimit(String serverKey, Optional<Double> perSecond) implements MeshMessage {}
 
+    /** Requests under which servers crashed. */
+    record RequestCrashes(List<RequestCrash> requests) implements MeshMessage {}
+
+    /**
+     * A request under which servers crashed.
+     *
+     * @param serverCodes the hashes that identify the servers
+     * @param crashedMillis the time since the last crash
+     */
+    record RequestCrash(RequestFingerprint request, List<Long> serverCodes, long crashedMillis) {}
+
+    /**
+     * A request that a server has run to a good end, so that it did not crash the servers on which it was in flight.
+     */
+    record RequestCleared(RequestFingerprint request) implements MeshMessage {}
+
     /**
      * The changes that the sender read from the platform.
      *
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
@@ -4,6 +4,9 @@
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.health.estimate.Observation;
+import io.coppershelf.poison.CrashRecord;
+import io.coppershelf.poison.RequestFingerprint;
+import io.coppershelf.proxy.FleetReports;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
@@ -11,14 +14,18 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-/** Exchanges observations and load of the servers with other VMs. Confined to the control thread. */
-final class ServerReporting {
+/**
+ * Exchanges observations, load and limits of the servers, and the requests under which they crashed, with other VMs.
+ * Confined to the control thread, but for what the traffic path reports.
+ */
+final class ServerReporting implements FleetReports {
     /** Share of its slots in use from which a server's load decides on choices and is reported at once. */
     private static final double URGENT_FILL = 0.5;
 
     private final EventLoop loop;
     private final FleetMessenger messenger;
     private final FleetObservations observations;
+    private final CrashReporting crashes;
     private final StateChangeLog changeLog;
     private final ServerSummaries summaries;
     private final Map<String, ServerReporter> reportersByDataCentre = new HashMap<>();
@@ -27,17 +34,43 @@
             EventLoop loop,
             FleetMessenger messenger,
             FleetObservations observations,
+            CrashReporting crashes,
             String dataCentre,
             StateChangeLog changeLog) {
         this.loop = loop;
         this.messenger = messenger;
         this.observations = observations;
+        this.crashes = crashes;
         this.changeLog = changeLog;
         summaries = new ServerSummaries(dataCentre);
     }
 
-    /** Records the outcome of a request of this VM. */
-    void observed(BackendServer server, Observation observation) {
+    @Override
+    public void observed(BackendServer server, Observation observation) {
+        loop.execute(() -> recordObservation(server, observation));
+    }
+
+    @Override
+    public void loadChanged(BackendServer server, int inFlight, boolean isStart) {
+        loop.execute(() -> recordLoad(server, inFlight, isStart));
+    }
+
+    @Override
+    public void serverLimited(BackendServer server, Optional<Double> perSecond) {
+        loop.execute(() -> reportLimit(server, perSecond));
+    }
+
+    @Override
+    public void requestCrashed(CrashRecord record) {
+        loop.execute(() -> crashes.report(record));
+    }
+
+    @Override
+    public void requestCleared(RequestFingerprint request) {
+        loop.execute(() -> crashes.report(new MeshMessage.RequestCleared(request)));
+    }
+
+    private void recordObservation(BackendServer server, Observation observation) {
         long now = System.nanoTime();
         String key = server.key();
         if (observations.observe(key, observation, StateChangeLog.OWN_REQUEST, changeLog, now)) {
@@ -49,8 +82,7 @@
         }
     }
 
-    /** Records a changed number of requests that this VM has in flight. */
-    void loadChanged(BackendServer server, int inFlight, boolean isStart) {
+    private void recordLoad(BackendServer server, int inFlight, boolean isStart) {
         long now = System.nanoTime();
         long code = FleetLoad.codeOf(server.key());
         if (isStart) {
@@ -64,8 +96,27 @@
         }
     }
 
-    /** Applies the report of another VM. */
-    void apply(InetSocketAddress sender, MeshMessage.ServerReport report) {
+    /** Applies a message of another VM on servers. */
+    void apply(InetSocketAddress sender, MeshMessage message) {
+        if (message instanceof MeshMessage.ServerReport report) {
+            apply(sender, report);
+        } else if (message instanceof MeshMessage.ServerSummary summary) {
+            observations.recordSummary(summary, System.nanoTime());
+        } else if (message instanceof MeshMessage.ServerLimit limit) {
+            apply(sender, limit);
+        } else if (message instanceof MeshMessage.RequestCrashes reported) {
+            crashes.apply(sender, reported);
+        } else if (message instanceof MeshMessage.RequestCleared cleared) {
+            crashes.apply(cleared);
+        }
+    }
+
+    /** Sends to another VM what it may have missed. */
+    void gossip(long nowNanos) {
+        crashes.gossip(nowNanos);
+    }
+
+    private void apply(InetSocketAddress sender, MeshMessage.ServerReport report) {
         long now = System.nanoTime();
         observations.recordLoad(sender, report, now);
         report.observations()
@@ -73,19 +124,12 @@
                         observations.observe(observed.serverKey(), observed.observation(), sender, changeLog, now));
     }
 
-    /** Applies the summary of a VM of another data centre. */
-    void apply(MeshMessage.ServerSummary summary) {
-        observations.recordSummary(summary, System.nanoTime());
-    }
-
-    /** Reports the limit that a server names in answers to this VM. */
-    void limited(BackendServer server, Optional<Double> perSecond) {
+    private void reportLimit(BackendServer server, Optional<Double> perSecond) {
         changeLog.limitChanged(server.key(), perSecond, StateChangeLog.OWN_REQUEST);
         messenger.sendToAll(new MeshMessage.ServerLimit(server.key(), perSecond), System.nanoTime());
     }
 
-    /** Applies a limit that another VM reports. */
-    void apply(InetSocketAddress sender, MeshMessage.ServerLimit limit) {
+    private void apply(InetSocketAddress sender, MeshMessage.ServerLimit limit) {
         if (observations.limits().record(FleetLoad.codeOf(limit.serverKey()), limit.perSecond(), System.nanoTime())) {
             changeLog.limitChanged(limit.serverKey(), limit.perSecond(), sender);
         }
--- a/coppershelf/src/main/java/io/coppershelf/outcome/ErrorKind.java
+++ b/coppershelf/src/main/java/io/coppershelf/outcome/ErrorKind.java
@@ -32,6 +32,7 @@
     OWNER_LOST(502, Outcome.UNKNOWN, Retry.NEVER),
     OVERLOADED(503, Outcome.NOT_RUN, Retry.SOON),
     SERVER_REFUSED(503, Outcome.NOT_RUN, Retry.SOON),
+    REQUEST_QUARANTINED(503, Outcome.NOT_RUN, Retry.LATER),
     NO_SERVER(503, Outcome.NOT_RUN, Retry.LATER),
     OWNER_UNREACHABLE(503, Outcome.NOT_RUN, Retry.SOON),
     KEY_UNDECIDED(503, Outcome.NOT_RUN, Retry.LATER),
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -116,6 +116,11 @@
         return context.chooser().pause(context.state().catalog().servers().accepting(service), System.nanoTime());
     }
 
+    @Override
+    public Optional<Duration> quarantine() {
+        return crashWatch.quarantine(System.nanoTime());
+    }
+
     @Override
     public boolean canRetry() {
         return context.budget()
@@ -130,15 +135,21 @@
 
     @Override
     public void ended(int number, ServerAttempt.End end, String detail) {
-        ServerAttempt attempt = attempts.get(number);
         if (end == ServerAttempt.End.LOST) {
-            crashWatch.attemptLost(attempt.server());
+            crashWatch.attemptLost(attempts.get(number).server(), () -> proceed(number, end, detail));
+        } else {
+            proceed(number, end, detail);
         }
+    }
+
+    private void proceed(int number, ServerAttempt.End end, String detail) {
         if (isEnded) {
             return;
         }
         long now = System.nanoTime();
+        ServerAttempt attempt = attempts.get(number);
         if (end == ServerAttempt.End.ANSWERED) {
+            crashWatch.succeeded();
             latency.add(attempt.ageNanos());
         } else {
             logAttempt(attempt, number, end.name(), detail);
@@ -215,6 +226,11 @@
             attempt.notSent(reasonNotSent(isDrained, isPaused));
             return;
         }
+        if (quarantine().isPresent()) {
+            connection.close();
+            attempt.notSent("the request is quarantined");
+            return;
+        }
         attempt.connected(connection);
         DefaultFullHttpRequest outgoing = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
@@ -66,7 +66,7 @@
         inputs = context.chooser().inputs(server, startedNanos);
         notices = new ServerNotices(context, server, stats);
         stats.requestStarted(startedNanos);
-        context.state().loadChanged(server, stats.inFlight(), true);
+        context.state().reports().loadChanged(server, stats.inFlight(), true);
     }
 
     BackendServer server() {
@@ -112,7 +112,7 @@
     void reportStall() {
         if (!isEnded && !isStallReported) {
             isStallReported = true;
-            context.state().observed(server, Observation.STALL);
+            context.state().reports().observed(server, Observation.STALL);
         }
     }
 
@@ -123,7 +123,7 @@
         }
         isEnded = true;
         stats.requestEnded();
-        context.state().loadChanged(server, stats.inFlight(), false);
+        context.state().reports().loadChanged(server, stats.inFlight(), false);
         connection.ifPresent(HttpConnection::close);
         context.metrics().recordAttempt("cancelled");
     }
@@ -147,19 +147,19 @@
         boolean isSigned = received.headers().contains(context.names().signature());
         boolean isSuccess = received.status() / 100 == 2;
         if (received.headers().contains(HttpHeaderNames.CONTENT_ENCODING) || (isSuccess && !isSigned)) {
-            context.state().observed(server, Observation.GARBLED);
+            context.state().reports().observed(server, Observation.GARBLED);
             end(End.LOST, "answer without the server's mark, status " + received.status());
             return;
         }
         if (isRefusalStatus(received.status())) {
-            context.state().observed(server, Observation.FAILURE);
+            context.state().reports().observed(server, Observation.FAILURE);
             end(End.LOST, "refusal without proof, status " + received.status());
             return;
         }
         answer = Optional.of(received);
         boolean isFailure = received.status() >= STATUS_SERVER_ERROR;
         if (isFailure || !isStallReported) {
-            context.state().observed(server, isFailure ? Observation.FAILURE : Observation.SUCCESS);
+            context.state().reports().observed(server, isFailure ? Observation.FAILURE : Observation.SUCCESS);
         }
         end(isFailure ? End.FAILED : End.ANSWERED, "status " + received.status());
     }
@@ -169,7 +169,7 @@
         if (isEnded) {
             return;
         }
-        context.state().observed(server, isGarbled ? Observation.GARBLED : Observation.FAILURE);
+        context.state().reports().observed(server, isGarbled ? Observation.GARBLED : Observation.FAILURE);
         end(End.LOST, reason);
     }
 
@@ -187,7 +187,7 @@
         if (received.status() == STATUS_MISDIRECTED) {
             stats.recordPathFailure(System.nanoTime());
         } else if (!wantsPause) {
-            context.state().observed(server, Observation.SHED);
+            context.state().reports().observed(server, Observation.SHED);
         }
         end(End.NOT_RUN, "status " + received.status() + (wantsPause ? ", pause requested" : ""));
     }
@@ -199,7 +199,7 @@
     private void end(End end, String detail) {
         isEnded = true;
         stats.requestEnded();
-        context.state().loadChanged(server, stats.inFlight(), false);
+        context.state().reports().loadChanged(server, stats.inFlight(), false);
         context.metrics().recordAttempt(end.name().toLowerCase(Locale.ROOT));
         listener.ended(number, end, detail);
     }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerNotices.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerNotices.java
@@ -69,7 +69,7 @@
 
     private void recordLimit(Optional<Double> perSecond) {
         if (context.chooser().recordLimit(server, perSecond, System.nanoTime())) {
-            context.state().serverLimited(server, perSecond);
+            context.state().reports().serverLimited(server, perSecond);
         }
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
@@ -6,6 +6,7 @@
 import io.coppershelf.dispatch.WeightedRoundRobin;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.http.BodyMemory;
+import io.coppershelf.poison.CrashRecords;
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.Map;
@@ -26,6 +27,7 @@
         TrafficMetrics metrics,
         EventLog log,
         BodyMemory bodies,
+        CrashRecords crashes,
         Map<String, TypicalLatency> latencies) {
 
     static TrafficContext create(
@@ -38,9 +40,10 @@
             ServerConnectionPool pool,
             TrafficMetrics metrics,
             EventLog log,
-            BodyMemory bodies) {
+            BodyMemory bodies,
+            CrashRecords crashes) {
         return new TrafficContext(
-                loop, names, state, chooser, budget, roundRobin, pool, metrics, log, bodies, new HashMap<>());
+                loop, names, state, chooser, budget, roundRobin, pool, metrics, log, bodies, crashes, new HashMap<>());
     }
 
     /** Returns the typical latency of a service for one kind of requests, whatever their route. */
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -13,6 +13,7 @@
 import io.coppershelf.health.estimate.HealthEstimates;
 import io.coppershelf.http.BodyMemory;
 import io.coppershelf.http.HttpConnector;
+import io.coppershelf.poison.CrashRecords;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -70,6 +71,7 @@
             IdleServerTracker idleServers,
             ServerLimits limits,
             FleetRetryBudget budget,
+            CrashRecords crashes,
             String dataCentre,
             PrometheusRegistry registry,
             EventLog log) {
@@ -86,7 +88,8 @@
                 new ServerConnectionPool(new HttpConnector(loop, CONNECT_TIMEOUT, bodies)),
                 new TrafficMetrics(registry),
                 log,
-                bodies);
+                bodies,
+                crashes);
     }
 
     /** Starts to listen and to serve callers. */
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
@@ -74,6 +74,32 @@
         assertThat(plan.serversReached()).isEqualTo(2);
     }
 
+    @Test
+    void quarantinedRequestIsRefusedAsNotRunWithATimeToRetry() {
+        allocator.quarantine = Optional.of(Duration.ofMinutes(5));
+        PlanStep.Fail fail = fail(plan(RequestKind.REPEATABLE, allocator).start(0));
+        assertThat(fail.kind()).isEqualTo(ErrorKind.REQUEST_QUARANTINED);
+        assertThat(fail.kind().outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(fail.retryAfter()).hasValue(Duration.ofMinutes(5));
+    }
+
+    @Test
+    void requestThatIsQuarantinedAfterItWasSentIsNotRetriedAndNotReportedAsNotRun() {
+        RequestPlan plan = started(RequestKind.REPEATABLE);
+        allocator.quarantine = Optional.of(Duration.ofMinutes(5));
+        PlanStep.Fail fail = fail(plan.lost(0, MILLI));
+        assertThat(fail.kind()).isEqualTo(ErrorKind.SERVER_LOST);
+        assertThat(fail.retryAfter()).isEmpty();
+    }
+
+    @Test
+    void quarantinedRequestIsNotHedged() {
+        RequestPlan plan = started(RequestKind.REPEATABLE);
+        allocator.quarantine = Optional.of(Duration.ofMinutes(5));
+        assertThat(plan.timerExpired(DEADLINE / 2).stream().anyMatch(PlanStep.Send.class::isInstance))
+                .isFalse();
+    }
+
     @Test
     void emptyBudgetPreventsARetry() {
         allocator.hasBudget = false;
@@ -180,6 +206,7 @@
         private final Deque<BackendServer> servers = new ArrayDeque<>();
         private boolean hasBudget = true;
         private Optional<Duration> pause = Optional.empty();
+        private Optional<Duration> quarantine = Optional.empty();
         private boolean isLastAttempt;
 
         FakeAllocator(String... ids) {
@@ -201,6 +228,11 @@
             return pause;
         }
 
+        @Override
+        public Optional<Duration> quarantine() {
+            return quarantine;
+        }
+
         @Override
         public boolean canRetry() {
             return hasBudget;
--- a/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
@@ -8,6 +8,7 @@
 import io.coppershelf.catalog.CatalogRevision;
 import io.coppershelf.catalog.FleetConfiguration;
 import io.coppershelf.eventlog.EventLog;
+import io.coppershelf.poison.RequestFingerprint;
 import io.coppershelf.testing.Catalogs;
 import io.coppershelf.testing.Conditions;
 import io.coppershelf.testing.FreePorts;
@@ -102,12 +103,50 @@
         FleetState other = start(second, platform, observations);
         Conditions.await(() -> told.fleetPosition().size() == 2 && hasServer(other, "a"));
         BackendServer limited = told.catalog().servers().server("a").orElseThrow();
-        told.serverLimited(limited, Optional.of(2.5));
+        told.reports().serverLimited(limited, Optional.of(2.5));
         Conditions.await(() -> observations.limits().perSecond(limited.key()).equals(Optional.of(2.5)));
-        told.serverLimited(limited, Optional.empty());
+        told.reports().serverLimited(limited, Optional.empty());
         Conditions.await(() -> observations.limits().perSecond(limited.key()).isEmpty());
     }
 
+    /** Guards against a request that crashed servers and is sent on by another VM, or by one that starts later. */
+    @Test
+    void quarantinedRequestIsKnownToTheOtherVmAndToOneThatStartsLater() throws InterruptedException {
+        FakePlatform platform = new FakePlatform(Optional.of(Snapshots.of(7)));
+        FleetObservations own = FleetObservations.create();
+        FleetObservations other = FleetObservations.create();
+        FleetState told = start(first, platform, own);
+        start(second, platform, other);
+        Conditions.await(() -> told.fleetPosition().size() == 2);
+        RequestFingerprint poison = new RequestFingerprint(1, 2);
+        for (int server = 1; server <= 3; server++) {
+            told.reports().requestCrashed(own.crashes().recordCrash(poison, server, System.nanoTime()));
+        }
+        Conditions.await(() -> isQuarantined(other, poison));
+        FleetObservations later = FleetObservations.create();
+        start(FreePorts.address(), platform, later);
+        Conditions.await(() -> isQuarantined(later, poison));
+    }
+
+    @Test
+    void requestThatSucceededIsClearedOnTheOtherVm() throws InterruptedException {
+        FakePlatform platform = new FakePlatform(Optional.of(Snapshots.of(7)));
+        FleetObservations own = FleetObservations.create();
+        FleetObservations other = FleetObservations.create();
+        FleetState told = start(first, platform, own);
+        start(second, platform, other);
+        Conditions.await(() -> told.fleetPosition().size() == 2);
+        RequestFingerprint innocent = new RequestFingerprint(1, 2);
+        told.reports().requestCrashed(own.crashes().recordCrash(innocent, 1, System.nanoTime()));
+        Conditions.await(() -> other.crashes().record(innocent).isPresent());
+        told.reports().requestCleared(innocent);
+        Conditions.await(() -> other.crashes().record(innocent).isEmpty());
+    }
+
+    private static boolean isQuarantined(FleetObservations observations, RequestFingerprint request) {
+        return observations.crashes().quarantine(request, System.nanoTime()).isPresent();
+    }
+
     @Test
     void vmsWithoutACatalogAreNotReady() throws InterruptedException {
         FleetState one = start(first, new FakePlatform(Optional.empty()));
--- a/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.coppershelf.health.estimate.Observation;
+import io.coppershelf.poison.RequestFingerprint;
 import io.coppershelf.testing.Catalogs;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -26,6 +27,9 @@
                 new MeshMessage.ServerLeaving("i-1@5"),
                 new MeshMessage.ServerLimit("i-1@5", Optional.of(2.5)),
                 new MeshMessage.ServerLimit("i-1@5", Optional.empty()),
+                new MeshMessage.RequestCrashes(
+                        List.of(new MeshMessage.RequestCrash(new RequestFingerprint(-5, 6), List.of(-4L, 7L), 200))),
+                new MeshMessage.RequestCleared(new RequestFingerprint(-5, 6)),
                 new MeshMessage.CatalogUpdate(
                         Catalogs.revision(1),
                         Catalogs.revision(2),
--- a/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
@@ -4,12 +4,14 @@
 import io.coppershelf.catalog.Catalog;
 import io.coppershelf.dispatch.FleetPosition;
 import io.coppershelf.health.estimate.Observation;
+import io.coppershelf.poison.CrashRecord;
+import io.coppershelf.poison.RequestFingerprint;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A control state that a test sets. */
-final class FakeControlState implements ControlState {
+final class FakeControlState implements ControlState, FleetReports {
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile boolean isStopping;
     private final List<String> leaving = new CopyOnWriteArrayList<>();
@@ -43,6 +45,11 @@
         return isStopping;
     }
 
+    @Override
+    public FleetReports reports() {
+        return this;
+    }
+
     @Override
     public void loadChanged(BackendServer server, int inFlight, boolean isStart) {
         // Tests of this package have one VM.
@@ -68,6 +75,16 @@
         return limits;
     }
 
+    @Override
+    public void requestCrashed(CrashRecord record) {
+        // Tests of this package have one VM.
+    }
+
+    @Override
+    public void requestCleared(RequestFingerprint request) {
+        // Tests of this package have one VM.
+    }
+
     @Override
     public void observed(BackendServer server, Observation observation) {
         observations.add(observation);
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -15,6 +15,7 @@
 import io.coppershelf.dispatch.ServerLimits;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.health.estimate.HealthEstimates;
+import io.coppershelf.poison.CrashRecords;
 import io.coppershelf.testing.Catalogs;
 import io.coppershelf.testing.FakeBackendServer;
 import io.coppershelf.testing.FreePorts;
@@ -58,6 +59,7 @@
                 new IdleServerTracker(),
                 new ServerLimits(),
                 new FleetRetryBudget(0.2, 58, Duration.ofSeconds(10)),
+                new CrashRecords(),
                 "here",
                 new PrometheusRegistry(),
                 EventLog.NONE);
@@ -104,6 +106,19 @@
         return RawCaller.exchange(address, request(method, path, 3000));
     }
 
+    /** Sends a request without a body from an address of the loopback interface and returns the answer. */
+    RawCaller.Reply callFrom(String caller, String method, String path) throws IOException {
+        try (RawCaller connection = RawCaller.connectFrom(new InetSocketAddress(caller, 0), address)) {
+            connection.send(request(method, path, 3000));
+            return connection.reply();
+        }
+    }
+
+    /** Sends a raw request and returns the answer. */
+    RawCaller.Reply send(String request) throws IOException {
+        return RawCaller.exchange(address, request);
+    }
+
     static String request(String method, String path, int deadlineMillis) {
         return method + " " + path + " HTTP/1.1\nHost: host\nRequest-Id: r1\nDeadline: " + deadlineMillis + "\n\n";
     }
--- a/coppershelf/src/test/java/io/coppershelf/testing/RawCaller.java
+++ b/coppershelf/src/test/java/io/coppershelf/testing/RawCaller.java
@@ -19,7 +19,13 @@
 
     /** Connects to the address. */
     public static RawCaller connect(InetSocketAddress address) throws IOException {
+        return connectFrom(new InetSocketAddress(0), address);
+    }
+
+    /** Connects to the address from a local one. */
+    public static RawCaller connectFrom(InetSocketAddress local, InetSocketAddress address) throws IOException {
         Socket socket = new Socket();
+        socket.bind(local);
         socket.connect(address);
         socket.setSoTimeout(READ_TIMEOUT_MILLIS);
         return new RawCaller(socket);
