Recognize a request that crashes servers also if its address or its query changes

A request now has three fingerprints: with caller and query, with the caller alone, with neither. A less specific one counts only if crashes under several more specific ones add up. Crashes under a quarantined request no longer count against the others that were at the same servers, so other callers of the path are served on.

FleetCrashesTest with an address and a query that change each time: at most three more sends after three seconds, and 0.97 of the other requests served.

--- a/coppershelf/src/main/java/io/coppershelf/mesh/CrashReporting.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/CrashReporting.java
@@ -4,13 +4,16 @@
 import io.coppershelf.eventlog.Fields;
 import io.coppershelf.poison.CrashRecord;
 import io.coppershelf.poison.CrashRecords;
+import io.coppershelf.poison.RequestFingerprint;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /**
  * Exchanges the requests under which servers crashed with other VMs. A crash is reported to all of them at once. The
@@ -45,10 +48,10 @@
         this.log = log;
     }
 
-    /** Reports a request of this VM under which a server crashed. */
-    void report(CrashRecord record) {
+    /** Reports the fingerprints of a request of this VM under which a server crashed. */
+    void report(List<CrashRecord> records) {
         long now = System.nanoTime();
-        messenger.sendToAll(message(List.of(record), now), now);
+        messenger.sendToAll(message(records, now), now);
     }
 
     /** Reports a request of this VM that was cleared. */
@@ -67,30 +70,49 @@
     /** Applies what another VM reports. */
     void apply(InetSocketAddress sender, MeshMessage.RequestCrashes reported) {
         long now = System.nanoTime();
-        reported.requests().forEach(crash -> add(sender, record(crash, now), now));
+        List<CrashRecord> records =
+                reported.requests().stream().map(crash -> record(crash, now)).toList();
+        Set<RequestFingerprint> quarantinedBefore = records.stream()
+                .map(CrashRecord::request)
+                .filter(fingerprint -> isQuarantined(fingerprint, now))
+                .collect(Collectors.toSet());
+        for (CrashRecord merged : crashes.add(records, now)) {
+            boolean isNew = merged.quarantine(now).isPresent() && !quarantinedBefore.contains(merged.request());
+            if (isNew) {
+                quarantined(sender, merged, records, now);
+            }
+        }
     }
 
     /** Applies that another VM has cleared a request. */
     void apply(MeshMessage.RequestCleared cleared) {
-        crashes.clear(cleared.request());
+        crashes.clear(cleared.fingerprints());
     }
 
-    private void add(InetSocketAddress sender, CrashRecord reported, long nowNanos) {
-        boolean wasQuarantined =
-                crashes.quarantine(reported.request(), nowNanos).isPresent();
-        CrashRecord merged = crashes.add(reported, nowNanos);
-        if (wasQuarantined || merged.quarantine(nowNanos).isEmpty()) {
-            return;
-        }
+    private boolean isQuarantined(RequestFingerprint fingerprint, long nowNanos) {
+        return crashes.record(fingerprint)
+                .flatMap(record -> record.quarantine(nowNanos))
+                .isPresent();
+    }
+
+    private void quarantined(InetSocketAddress sender, CrashRecord record, List<CrashRecord> reported, long nowNanos) {
         log.important(
                 "request-quarantined",
                 Fields.of(
-                        "fingerprint", merged.request(),
-                        "crashes", merged.serverCodes().size(),
-                        "source", sender));
-        if (reported.quarantine(nowNanos).isEmpty()) {
+                        "fingerprint",
+                        record.request(),
+                        "crashes",
+                        record.serverCodes().size(),
+                        "variants",
+                        record.variants().size(),
+                        "source",
+                        sender));
+        boolean isKnownToSender = reported.stream()
+                .filter(other -> other.request().equals(record.request()))
+                .anyMatch(other -> other.quarantine(nowNanos).isPresent());
+        if (!isKnownToSender) {
             // Each VM may know of other crashes, if a report was lost; only together they are enough.
-            messenger.sendToAll(message(List.of(merged), nowNanos), nowNanos);
+            messenger.sendToAll(message(List.of(record), nowNanos), nowNanos);
         }
     }
 
@@ -98,6 +120,8 @@
         return new MeshMessage.RequestCrashes(records.stream()
                 .map(record -> new MeshMessage.RequestCrash(
                         record.request(),
+                        record.minVariants(),
+                        List.copyOf(record.variants()),
                         List.copyOf(record.serverCodes()),
                         TimeUnit.NANOSECONDS.toMillis(nowNanos - record.crashedNanos())))
                 .toList());
@@ -106,6 +130,8 @@
     private static CrashRecord record(MeshMessage.RequestCrash crash, long nowNanos) {
         return new CrashRecord(
                 crash.request(),
+                crash.minVariants(),
+                new HashSet<>(crash.variants()),
                 new HashSet<>(crash.serverCodes()),
                 nowNanos - TimeUnit.MILLISECONDS.toNanos(crash.crashedMillis()));
     }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -79,7 +79,8 @@
                             MessageFields.readOptional(unpacker, MessageUnpacker::unpackDouble));
                 case REQUEST_CRASHES ->
                     new MeshMessage.RequestCrashes(MessageFields.readList(unpacker, MeshCodec::readCrash));
-                case REQUEST_CLEARED -> new MeshMessage.RequestCleared(readFingerprint(unpacker));
+                case REQUEST_CLEARED ->
+                    new MeshMessage.RequestCleared(MessageFields.readList(unpacker, MeshCodec::readFingerprint));
                 default -> throw new IOException("unknown message type " + type);
             };
         } catch (RuntimeException e) {
@@ -114,7 +115,7 @@
             MessageFields.writeList(packer, crashes.requests(), MeshCodec::writeCrash);
         } else if (message instanceof MeshMessage.RequestCleared cleared) {
             packer.packInt(REQUEST_CLEARED);
-            writeFingerprint(packer, cleared.request());
+            MessageFields.writeList(packer, cleared.fingerprints(), MeshCodec::writeFingerprint);
         } else if (message instanceof MeshMessage.CatalogUpdate update) {
             packer.packInt(CATALOG_UPDATE);
             writeRevision(packer, update.since());
@@ -138,6 +139,8 @@
 
     private static void writeCrash(MessagePacker packer, MeshMessage.RequestCrash crash) throws IOException {
         writeFingerprint(packer, crash.request());
+        packer.packInt(crash.minVariants());
+        MessageFields.writeList(packer, crash.variants(), MessagePacker::packLong);
         MessageFields.writeList(packer, crash.serverCodes(), MessagePacker::packLong);
         packer.packLong(crash.crashedMillis());
     }
@@ -145,6 +148,8 @@
     private static MeshMessage.RequestCrash readCrash(MessageUnpacker unpacker) throws IOException {
         return new MeshMessage.RequestCrash(
                 readFingerprint(unpacker),
+                unpacker.unpackInt(),
+                MessageFields.readList(unpacker, MessageUnpacker::unpackLong),
                 MessageFields.readList(unpacker, MessageUnpacker::unpackLong),
                 unpacker.unpackLong());
     }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -62,21 +62,30 @@
      */
     record ServerLimit(String serverKey, Optional<Double> perSecond) implements MeshMessage {}
 
-    /** Requests under which servers crashed. */
+    /** Fingerprints of requests under which servers crashed, more specific ones first. */
     record RequestCrashes(List<RequestCrash> requests) implements MeshMessage {}
 
     /**
-     * A request under which servers crashed.
+     * A fingerprint of requests under which servers crashed.
      *
+     * @param minVariants the number of different requests that must have been at these servers for a quarantine
+     * @param variants the hashes of the requests
      * @param serverCodes the hashes that identify the servers
      * @param crashedMillis the time since the last crash
      */
-    record RequestCrash(RequestFingerprint request, List<Long> serverCodes, long crashedMillis) {}
+    record RequestCrash(
+            RequestFingerprint request,
+            int minVariants,
+            List<Long> variants,
+            List<Long> serverCodes,
+            long crashedMillis) {}
 
     /**
      * A request that a server has run to a good end, so that it did not crash the servers on which it was in flight.
+     *
+     * @param fingerprints the fingerprints of the request
      */
-    record RequestCleared(RequestFingerprint request) implements MeshMessage {}
+    record RequestCleared(List<RequestFingerprint> fingerprints) implements MeshMessage {}
 
     /**
      * The changes that the sender read from the platform.
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
@@ -10,6 +10,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -61,13 +62,13 @@
     }
 
     @Override
-    public void requestCrashed(CrashRecord record) {
-        loop.execute(() -> crashes.report(record));
+    public void requestCrashed(List<CrashRecord> records) {
+        loop.execute(() -> crashes.report(records));
     }
 
     @Override
-    public void requestCleared(RequestFingerprint request) {
-        loop.execute(() -> crashes.report(new MeshMessage.RequestCleared(request)));
+    public void requestCleared(List<RequestFingerprint> fingerprints) {
+        loop.execute(() -> crashes.report(new MeshMessage.RequestCleared(fingerprints)));
     }
 
     private void recordObservation(BackendServer server, Observation observation) {
--- a/coppershelf/src/main/java/io/coppershelf/poison/CrashRecord.java
+++ b/coppershelf/src/main/java/io/coppershelf/poison/CrashRecord.java
@@ -7,14 +7,18 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The servers that crashed while they ran a request. Immutable.
+ * The servers that crashed while they ran requests with one fingerprint. Immutable.
  *
- * @param request the request
+ * @param request the fingerprint
+ * @param minVariants the number of different requests with this fingerprint that must have been at servers that crashed
+ *     before it is quarantined: one if it is the most specific, else two, as a more specific one would do for one
+ * @param variants the hashes of these requests
  * @param serverCodes the hashes that identify the servers and their incarnations
  * @param crashedNanos the monotonic time of the last crash
  */
-public record CrashRecord(RequestFingerprint request, Set<Long> serverCodes, long crashedNanos) {
-    /** Number of crashes from which the request is kept from the servers. */
+public record CrashRecord(
+        RequestFingerprint request, int minVariants, Set<Long> variants, Set<Long> serverCodes, long crashedNanos) {
+    /** Number of crashes from which requests are kept from the servers. */
     static final int CRASH_LIMIT = 3;
     /** Duration of the first quarantine; a request that was only in flight at three crashes is soon sent again. */
     private static final long FIRST_QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(1);
@@ -22,9 +26,12 @@
     private static final long QUARANTINE_FACTOR = 4;
     /** Longest quarantine; the servers may have been repaired meanwhile. */
     static final long MAX_QUARANTINE_NANOS = TimeUnit.HOURS.toNanos(1);
+    /** Largest number of hashes that are kept of each kind; more would change nothing. */
+    private static final int MAX_HASHES = 16;
 
-    /** Copies the codes. */
+    /** Copies the hashes. */
     public CrashRecord {
+        variants = Set.copyOf(variants);
         serverCodes = Set.copyOf(serverCodes);
     }
 
@@ -43,14 +50,30 @@
 
     /** Returns whether the request has ever been quarantined. */
     boolean hasReachedLimit() {
-        return serverCodes.size() >= CRASH_LIMIT;
+        return serverCodes.size() >= CRASH_LIMIT && variants.size() >= minVariants;
     }
 
     /** Returns a record of what both records state. */
     CrashRecord merge(CrashRecord other) {
-        Set<Long> codes = new HashSet<>(serverCodes);
-        codes.addAll(other.serverCodes);
         boolean isLater = crashedNanos - other.crashedNanos > 0;
-        return new CrashRecord(request, codes, isLater ? crashedNanos : other.crashedNanos);
+        return new CrashRecord(
+                request,
+                minVariants,
+                union(variants, other.variants),
+                union(serverCodes, other.serverCodes),
+                isLater ? crashedNanos : other.crashedNanos);
+    }
+
+    /** Returns a record without servers that crashed under another request. */
+    CrashRecord without(Set<Long> explainedCodes) {
+        Set<Long> remaining = new HashSet<>(serverCodes);
+        remaining.removeAll(explainedCodes);
+        return new CrashRecord(request, minVariants, variants, remaining, crashedNanos);
+    }
+
+    private static Set<Long> union(Set<Long> one, Set<Long> other) {
+        Set<Long> union = new HashSet<>(one);
+        other.stream().filter(hash -> union.size() < MAX_HASHES).forEach(union::add);
+        return union;
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/poison/RequestFingerprint.java
+++ b/coppershelf/src/main/java/io/coppershelf/poison/RequestFingerprint.java
@@ -4,20 +4,19 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.List;
 
 /**
- * Identifies requests of one caller with the same method, host, path and body. Two parts, since the body may be large
- * and needs to be hashed only if the head is that of a recorded request.
+ * Identifies requests that are the same in some parts. Two hashes, since a body may be large and needs to be hashed
+ * only if the head is on record.
  *
- * @param head the hash of caller, method, host and path
+ * @param head the hash of the parts of the head
  * @param body the hash of the body
  */
 public record RequestFingerprint(long head, long body) {
-    /** Returns the hash of the parts of a request's head that identify it. */
-    public static long headOf(String caller, String method, String host, String path) {
+    /** Returns the hash of parts of the head. */
+    static long headOf(String... parts) {
         MessageDigest digest = sha256();
-        for (String part : List.of(caller, method, host, path)) {
+        for (String part : parts) {
             byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
             // The lengths keep parts of other requests from adding up to the same bytes.
             digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, bytes.length));
@@ -26,11 +25,11 @@
         return first64Bits(digest);
     }
 
-    /** Returns the fingerprint of a request with this head. */
-    public static RequestFingerprint of(long head, byte[] body) {
+    /** Returns the hash of a body. */
+    static long bodyOf(byte[] body) {
         MessageDigest digest = sha256();
         digest.update(body);
-        return new RequestFingerprint(head, first64Bits(digest));
+        return first64Bits(digest);
     }
 
     private static long first64Bits(MessageDigest digest) {
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CrashWatch.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CrashWatch.java
@@ -3,10 +3,11 @@
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.eventlog.Fields;
 import io.coppershelf.poison.CrashRecord;
-import io.coppershelf.poison.CrashRecords;
 import io.coppershelf.poison.RequestFingerprint;
+import io.coppershelf.poison.RequestIdentity;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -15,20 +16,20 @@
  */
 final class CrashWatch {
     private final TrafficContext context;
-    private final CallerRequest request;
     private final String requestId;
-    private Optional<Long> head = Optional.empty();
-    private Optional<RequestFingerprint> fingerprint = Optional.empty();
+    private final RequestIdentity identity;
 
     CrashWatch(TrafficContext context, CallerRequest request, String requestId) {
         this.context = context;
-        this.request = request;
         this.requestId = requestId;
+        String host =
+                Optional.ofNullable(request.headers().get(HttpHeaderNames.HOST)).orElse("");
+        identity = new RequestIdentity(request.caller(), request.method().name(), host, request.uri(), request.body());
     }
 
     /** Returns the time for which the request is kept from the servers, empty if it may be sent. */
     Optional<Duration> quarantine(long nowNanos) {
-        return isOnRecord() ? context.crashes().quarantine(fingerprint(), nowNanos) : Optional.empty();
+        return context.crashes().quarantine(identity, nowNanos);
     }
 
     /**
@@ -38,7 +39,7 @@
      * @param next continues with the request; called at once, unless another server crashed under it before
      */
     void attemptLost(BackendServer server, Runnable next) {
-        boolean isSuspected = isOnRecord();
+        boolean isSuspected = context.crashes().isOnRecord(identity);
         context.pool().check(server, state -> {
             if (state == ServerConnectionPool.ServerState.REFUSING) {
                 recordCrash(server);
@@ -54,22 +55,20 @@
 
     /** Handles the success of the request, which shows that it crashes no servers. */
     void succeeded() {
-        if (isOnRecord() && context.crashes().clear(fingerprint())) {
-            context.state().reports().requestCleared(fingerprint());
+        if (context.crashes().isOnRecord(identity) && context.crashes().clear(identity.fingerprints())) {
+            context.state().reports().requestCleared(identity.fingerprints());
         }
     }
 
     /** Returns what requests that are the same to a server have in common. */
     RequestFingerprint fingerprint() {
-        if (fingerprint.isEmpty()) {
-            fingerprint = Optional.of(RequestFingerprint.of(head(), request.body()));
-        }
-        return fingerprint.get();
+        return identity.mostSpecific();
     }
 
     private void recordCrash(BackendServer server) {
-        long code = context.chooser().stats(server).code();
-        CrashRecord record = context.crashes().recordCrash(fingerprint(), code, System.nanoTime());
+        long now = System.nanoTime();
+        List<CrashRecord> records = context.crashes()
+                .recordCrash(identity, context.chooser().stats(server).code(), now);
         context.metrics().recordCrash();
         context.log()
                 .important(
@@ -79,29 +78,15 @@
                                 requestId,
                                 "server",
                                 server.id(),
-                                "fingerprint",
-                                fingerprint(),
+                                "fingerprints",
+                                identity.fingerprints(),
                                 "crashes",
-                                record.serverCodes().size(),
+                                records.stream()
+                                        .mapToInt(record -> record.serverCodes().size())
+                                        .max()
+                                        .orElse(0),
                                 "quarantined",
-                                record.quarantine(System.nanoTime()).isPresent()));
-        context.state().reports().requestCrashed(record);
-    }
-
-    private boolean isOnRecord() {
-        CrashRecords crashes = context.crashes();
-        return !crashes.isEmpty()
-                && crashes.hasHead(head())
-                && crashes.record(fingerprint()).isPresent();
-    }
-
-    private long head() {
-        if (head.isEmpty()) {
-            String host = Optional.ofNullable(request.headers().get(HttpHeaderNames.HOST))
-                    .orElse("");
-            head = Optional.of(
-                    RequestFingerprint.headOf(request.caller(), request.method().name(), host, request.uri()));
-        }
-        return head.get();
+                                quarantine(now).isPresent()));
+        context.state().reports().requestCrashed(records);
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/FleetReports.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/FleetReports.java
@@ -4,6 +4,7 @@
 import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.poison.CrashRecord;
 import io.coppershelf.poison.RequestFingerprint;
+import java.util.List;
 import java.util.Optional;
 
 /** What the traffic path reports of the servers, for this VM and the others. All methods are thread-safe. */
@@ -25,12 +26,12 @@
     /**
      * Records that a server crashed while it ran a request.
      *
-     * @param record all servers that are known to have crashed under the request
+     * @param records all servers that are known to have crashed, by fingerprints of the request
      */
-    void requestCrashed(CrashRecord record);
+    void requestCrashed(List<CrashRecord> records);
 
     /** Records that a server has run a request to a good end under which another one crashed. */
-    void requestCleared(RequestFingerprint request);
+    void requestCleared(List<RequestFingerprint> fingerprints);
 
     /** Records the outcome of a request at a server. */
     void observed(BackendServer server, Observation observation);
--- a/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
@@ -8,7 +8,7 @@
 import io.coppershelf.catalog.CatalogRevision;
 import io.coppershelf.catalog.FleetConfiguration;
 import io.coppershelf.eventlog.EventLog;
-import io.coppershelf.poison.RequestFingerprint;
+import io.coppershelf.poison.RequestIdentity;
 import io.coppershelf.testing.Catalogs;
 import io.coppershelf.testing.Conditions;
 import io.coppershelf.testing.FreePorts;
@@ -118,7 +118,7 @@
         FleetState told = start(first, platform, own);
         start(second, platform, other);
         Conditions.await(() -> told.fleetPosition().size() == 2);
-        RequestFingerprint poison = new RequestFingerprint(1, 2);
+        RequestIdentity poison = new RequestIdentity("10.0.0.1", "GET", "host", "/a", new byte[0]);
         for (int server = 1; server <= 3; server++) {
             told.reports().requestCrashed(own.crashes().recordCrash(poison, server, System.nanoTime()));
         }
@@ -136,14 +136,14 @@
         FleetState told = start(first, platform, own);
         start(second, platform, other);
         Conditions.await(() -> told.fleetPosition().size() == 2);
-        RequestFingerprint innocent = new RequestFingerprint(1, 2);
+        RequestIdentity innocent = new RequestIdentity("10.0.0.1", "GET", "host", "/a", new byte[0]);
         told.reports().requestCrashed(own.crashes().recordCrash(innocent, 1, System.nanoTime()));
-        Conditions.await(() -> other.crashes().record(innocent).isPresent());
-        told.reports().requestCleared(innocent);
-        Conditions.await(() -> other.crashes().record(innocent).isEmpty());
+        Conditions.await(() -> other.crashes().isOnRecord(innocent));
+        told.reports().requestCleared(innocent.fingerprints());
+        Conditions.await(() -> !other.crashes().isOnRecord(innocent));
     }
 
-    private static boolean isQuarantined(FleetObservations observations, RequestFingerprint request) {
+    private static boolean isQuarantined(FleetObservations observations, RequestIdentity request) {
         return observations.crashes().quarantine(request, System.nanoTime()).isPresent();
     }
 
--- a/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
@@ -27,9 +27,9 @@
                 new MeshMessage.ServerLeaving("i-1@5"),
                 new MeshMessage.ServerLimit("i-1@5", Optional.of(2.5)),
                 new MeshMessage.ServerLimit("i-1@5", Optional.empty()),
-                new MeshMessage.RequestCrashes(
-                        List.of(new MeshMessage.RequestCrash(new RequestFingerprint(-5, 6), List.of(-4L, 7L), 200))),
-                new MeshMessage.RequestCleared(new RequestFingerprint(-5, 6)),
+                new MeshMessage.RequestCrashes(List.of(new MeshMessage.RequestCrash(
+                        new RequestFingerprint(-5, 6), 2, List.of(8L), List.of(-4L, 7L), 200))),
+                new MeshMessage.RequestCleared(List.of(new RequestFingerprint(-5, 6))),
                 new MeshMessage.CatalogUpdate(
                         Catalogs.revision(1),
                         Catalogs.revision(2),
--- a/coppershelf/src/test/java/io/coppershelf/poison/FleetCrashesTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/poison/FleetCrashesTest.java
@@ -8,6 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -24,7 +25,7 @@
     private static final long DOWN = 5 * SECOND;
     private static final int SERVERS = 10;
     private static final int CALLERS = 60;
-    private static final RequestFingerprint POISON = new RequestFingerprint(-1, -1);
+    private static final RequestIdentity POISON = request("10.9.9.9", "/poison");
 
     private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at));
     private final List<CrashRecords> vms = new ArrayList<>();
@@ -35,6 +36,7 @@
     private int innocents;
     private int servedInnocents;
     private Random random = new Random();
+    private Supplier<RequestIdentity> poison = () -> POISON;
 
     /** Guards against a request that is sent on by VMs other than those at which servers crashed. */
     @Test
@@ -46,6 +48,17 @@
         }
     }
 
+    /** Guards against a request that comes through another address, and with another query, each time. */
+    @Test
+    void requestWhoseCallerCannotBeToldReachesAtMostThreeMoreAfterThreeSeconds() {
+        for (int seed = 0; seed < 20; seed++) {
+            poison = () -> request("10.9.0." + random.nextInt(250), "/poison?x=" + random.nextInt(9));
+            play(seed, 36, 250 * MILLI);
+            assertThat(sendsAfter(poisonCrashes.get(2) + 3 * SECOND)).isAtMost(3);
+            assertThat((double) servedInnocents / innocents).isAtLeast(0.97);
+        }
+    }
+
     @Test
     void largeFleetKeepsTheSameBound() {
         for (int seed = 0; seed < 5; seed++) {
@@ -115,7 +128,7 @@
             servers.add(new Server());
         }
         for (int caller = 0; caller < CALLERS; caller++) {
-            RequestFingerprint request = new RequestFingerprint(caller, 0);
+            RequestIdentity request = request("10.0.0." + caller, "/poll/" + caller % 20);
             long first = (long) (random.nextDouble() * 2 * SECOND);
             for (long at = first; at < END - 2 * SECOND; at += 2 * SECOND) {
                 long now = at;
@@ -124,21 +137,21 @@
         }
         for (long at = 5 * SECOND; at < END; at += poisonInterval) {
             long now = at;
-            events.add(new Event(now, () -> receive(POISON, now)));
+            events.add(new Event(now, () -> receive(poison.get(), now)));
         }
         while (!events.isEmpty()) {
             events.poll().action.run();
         }
     }
 
-    private void receive(RequestFingerprint request, long now) {
-        innocents += request.equals(POISON) ? 0 : 1;
+    private void receive(RequestIdentity request, long now) {
+        innocents += isPoison(request) ? 0 : 1;
         send(random.nextInt(vms.size()), request, 1, now);
     }
 
-    private void send(int vm, RequestFingerprint request, int attempt, long now) {
+    private void send(int vm, RequestIdentity request, int attempt, long now) {
         if (vms.get(vm).quarantine(request, now).isPresent()) {
-            if (!request.equals(POISON)) {
+            if (!isPoison(request)) {
                 refusedInnocents++;
             }
             return;
@@ -152,7 +165,7 @@
                 .orElseThrow();
         Attempt sent = new Attempt(vm, request, attempt);
         server.inFlight.add(sent);
-        if (request.equals(POISON)) {
+        if (isPoison(request)) {
             poisonSends.add(now);
             events.add(new Event(now + 50 * MILLI, () -> {
                 if (server.inFlight.contains(sent)) {
@@ -177,7 +190,7 @@
         server.incarnation = random.nextLong();
         server.upAt = now + DOWN;
         for (Attempt attempt : lost) {
-            CrashRecord record = vms.get(attempt.vm).recordCrash(attempt.request, code, now);
+            List<CrashRecord> record = vms.get(attempt.vm).recordCrash(attempt.request, code, now);
             for (int other = 0; other < vms.size(); other++) {
                 int receiver = other;
                 if (random.nextInt(100) >= 3) {
@@ -191,17 +204,26 @@
         }
     }
 
-    private void clear(int vm, RequestFingerprint request) {
-        if (vms.get(vm).clear(request)) {
-            vms.forEach(other -> other.clear(request));
+    private void clear(int vm, RequestIdentity request) {
+        if (vms.get(vm).isOnRecord(request) && vms.get(vm).clear(request.fingerprints())) {
+            vms.forEach(other -> other.clear(request.fingerprints()));
         }
     }
 
+    private static boolean isPoison(RequestIdentity request) {
+        return request == POISON
+                || request.fingerprints().get(2).equals(POISON.fingerprints().get(2));
+    }
+
+    private static RequestIdentity request(String caller, String uri) {
+        return new RequestIdentity(caller, "GET", "host", uri, new byte[0]);
+    }
+
     private int sendsAfter(long from) {
         return (int) poisonSends.stream().filter(at -> at > from).count();
     }
 
-    private record Attempt(int vm, RequestFingerprint request, int number) {
+    private record Attempt(int vm, RequestIdentity request, int number) {
         /** Each attempt is another one, although its values may be those of an earlier one. */
         @Override
         public boolean equals(Object other) {
--- a/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
@@ -76,12 +76,12 @@
     }
 
     @Override
-    public void requestCrashed(CrashRecord record) {
+    public void requestCrashed(List<CrashRecord> records) {
         // Tests of this package have one VM.
     }
 
     @Override
-    public void requestCleared(RequestFingerprint request) {
+    public void requestCleared(List<RequestFingerprint> fingerprints) {
         // Tests of this package have one VM.
     }
 
