--- a/coppershelf/src/main/java/io/coppershelf/dispatch/AttemptAllocator.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/AttemptAllocator.java
@@ -1,6 +1,7 @@
 package io.coppershelf.dispatch;
 
 import io.coppershelf.catalog.BackendServer;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
@@ -26,6 +27,15 @@
      */
     Optional<Duration> quarantine();
 
+    /** Returns whether this VM reaches no server, so that only other VMs can send the request to one. */
+    boolean isCutOff();
+
+    /**
+     * Returns a VM that can send the request to a server, empty if none is known or the request was itself received
+     * from a VM.
+     */
+    Optional<InetSocketAddress> relay(Set<InetSocketAddress> excluded);
+
     /** Returns whether the retry budget of the service has a retry left. */
     boolean canRetry();
 
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/PlanStep.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/PlanStep.java
@@ -2,6 +2,7 @@
 
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.outcome.ErrorKind;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -15,6 +16,14 @@
      */
     record Send(int attempt, BackendServer server, String reason) implements PlanStep {}
 
+    /**
+     * Hands the request to another VM, which sends it to servers.
+     *
+     * @param attempt the number of the attempt, from 0
+     * @param servers the number of servers to which the other VM may send it
+     */
+    record Relay(int attempt, InetSocketAddress vm, int servers) implements PlanStep {}
+
     /** Delivers the answer of this attempt to the caller and cancels the other attempts. */
     record Deliver(int attempt) implements PlanStep {}
 
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
@@ -3,6 +3,7 @@
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.Route;
 import io.coppershelf.outcome.ErrorKind;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -22,6 +23,8 @@
     static final Duration LONG_RETRY_AFTER = Duration.ofSeconds(1);
     /** Failed connection attempts after which a request fails; each takes up to the connection timeout. */
     private static final int MAX_CONNECTION_FAILURES = 4;
+    /** Other VMs to which a request is handed at most, one after the other, if they do not run it. */
+    private static final int MAX_RELAYS = 3;
 
     private enum AttemptState {
         RUNNING,
@@ -38,6 +41,8 @@
     private final long stallNanos;
     private final List<Attempt> attempts = new ArrayList<>();
     private final Set<String> usedServers = new HashSet<>();
+    private final Set<InetSocketAddress> usedVms = new HashSet<>();
+    private final int maxServers;
     private boolean isEnded;
 
     /**
@@ -47,7 +52,21 @@
      * @param latency the typical latency of the service for this kind of requests
      */
     public RequestPlan(Route route, AttemptAllocator allocator, long deadlineNanos, TypicalLatency latency) {
+        this(route, route.maxServers(), allocator, deadlineNanos, latency);
+    }
+
+    /**
+     * Creates the plan of a request that has just been read.
+     *
+     * @param maxServers the number of servers to which it may be sent; fewer than the route allows if another VM has
+     *     sent it before
+     * @param deadlineNanos the monotonic time by which the caller must have an answer
+     * @param latency the typical latency of the service for this kind of requests
+     */
+    public RequestPlan(
+            Route route, int maxServers, AttemptAllocator allocator, long deadlineNanos, TypicalLatency latency) {
         this.route = route;
+        this.maxServers = maxServers;
         this.allocator = allocator;
         this.deadlineNanos = deadlineNanos;
         slowNanos = latency.slowNanos(route.objective());
@@ -69,6 +88,18 @@
         return attemptEnded(attempt, AttemptState.NOT_RUN, nowNanos);
     }
 
+    /**
+     * Handles the end of an attempt by another VM that states that the request has not run and will not.
+     *
+     * @param servers the number of servers that the other VM sent it to
+     * @param retryAfter the time after which the caller may retry, as the other VM states it
+     */
+    public List<PlanStep> relayNotRun(int attempt, int servers, Optional<Duration> retryAfter, long nowNanos) {
+        attempts.get(attempt).servers = servers;
+        attempts.get(attempt).retryAfter = retryAfter;
+        return attemptEnded(attempt, AttemptState.NOT_RUN, nowNanos);
+    }
+
     /** Handles an attempt whose connection ended or delivered no valid answer; the request may have run. */
     public List<PlanStep> lost(int attempt, long nowNanos) {
         return attemptEnded(attempt, AttemptState.LOST, nowNanos);
@@ -99,7 +130,8 @@
         List<PlanStep> steps = new ArrayList<>();
         for (int i = 0; i < attempts.size(); i++) {
             Attempt attempt = attempts.get(i);
-            if (attempt.state == AttemptState.RUNNING && !attempt.isStalled && attempt.age(nowNanos) >= stallNanos) {
+            boolean isSuspect = attempt.state == AttemptState.RUNNING && !attempt.isRelay;
+            if (isSuspect && !attempt.isStalled && attempt.age(nowNanos) >= stallNanos) {
                 attempt.isStalled = true;
                 steps.add(new PlanStep.ReportStall(i));
             }
@@ -115,7 +147,7 @@
     public long nextTimer(long nowNanos) {
         long next = deadlineNanos;
         for (Attempt attempt : attempts) {
-            if (attempt.state != AttemptState.RUNNING) {
+            if (attempt.state != AttemptState.RUNNING || attempt.isRelay) {
                 continue;
             }
             if (!attempt.isHedged && route.kind().isRepeatable()) {
@@ -130,9 +162,10 @@
 
     /** Returns the number of servers that the request was sent to. */
     public int serversReached() {
-        return (int) attempts.stream()
+        return attempts.stream()
                 .filter(attempt -> attempt.state != AttemptState.NOT_SENT)
-                .count();
+                .mapToInt(attempt -> attempt.servers)
+                .sum();
     }
 
     private boolean isHedgeDue(long nowNanos) {
@@ -143,6 +176,7 @@
         return runningAttempts() == 1
                 && last.state == AttemptState.RUNNING
                 && !last.isHedged
+                && !last.isRelay
                 && last.age(nowNanos) >= slowNanos;
     }
 
@@ -174,7 +208,13 @@
         if (allocator.quarantine().isPresent()) {
             return Optional.empty();
         }
-        if (reached >= route.maxServers() || attempts.size() - reached >= MAX_CONNECTION_FAILURES) {
+        if (reached >= maxServers) {
+            return Optional.empty();
+        }
+        if (allocator.isCutOff()) {
+            return relay(reached, nowNanos);
+        }
+        if (connectionFailures() >= MAX_CONNECTION_FAILURES) {
             return Optional.empty();
         }
         Optional<BackendServer> server = allocator.choose(usedServers, isLastAttempt(reached));
@@ -186,8 +226,31 @@
         return Optional.of(new PlanStep.Send(attempts.size() - 1, server.get(), reason));
     }
 
+    private Optional<PlanStep> relay(int reached, long nowNanos) {
+        if (usedVms.size() >= MAX_RELAYS) {
+            return Optional.empty();
+        }
+        Optional<InetSocketAddress> vm = allocator.relay(usedVms);
+        if (vm.isEmpty() || (reached > 0 && !allocator.tryAcquireRetry())) {
+            return Optional.empty();
+        }
+        usedVms.add(vm.get());
+        Attempt attempt = new Attempt(nowNanos);
+        attempt.isRelay = true;
+        // Unless the other VM states a smaller number, it may have used all of them.
+        attempt.servers = maxServers - reached;
+        attempts.add(attempt);
+        return Optional.of(new PlanStep.Relay(attempts.size() - 1, vm.get(), attempt.servers));
+    }
+
+    private int connectionFailures() {
+        return (int) attempts.stream()
+                .filter(attempt -> attempt.state == AttemptState.NOT_SENT && !attempt.isRelay)
+                .count();
+    }
+
     private boolean isLastAttempt(int reached) {
-        return !route.kind().isRepeatable() || reached + 1 >= route.maxServers() || !allocator.canRetry();
+        return !route.kind().isRepeatable() || reached + 1 >= maxServers || !allocator.canRetry();
     }
 
     /**
@@ -226,8 +289,11 @@
                     pause);
         }
         if (isRefused) {
-            return new PlanStep.Fail(
-                    ErrorKind.SERVER_REFUSED, "all servers asked were full", Optional.of(SHORT_RETRY_AFTER));
+            Duration retryAfter = attempts.stream()
+                    .flatMap(attempt -> attempt.retryAfter.stream())
+                    .max(Duration::compareTo)
+                    .orElse(SHORT_RETRY_AFTER);
+            return new PlanStep.Fail(ErrorKind.SERVER_REFUSED, "all servers asked were full", Optional.of(retryAfter));
         }
         return new PlanStep.Fail(ErrorKind.NO_SERVER, "no server could be reached", Optional.of(LONG_RETRY_AFTER));
     }
@@ -243,6 +309,9 @@
         private AttemptState state = AttemptState.RUNNING;
         private boolean isStalled;
         private boolean isHedged;
+        private boolean isRelay;
+        private int servers = 1;
+        private Optional<Duration> retryAfter = Optional.empty();
 
         Attempt(long sentNanos) {
             this.sentNanos = sentNanos;
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -216,6 +216,11 @@
         return FULL_SLOTS_LOSS + QUEUED_ROUND_LOSS * (rounds + rounds * rounds) / 2;
     }
 
+    /** Ends the backoff of all servers. */
+    public void forgetPathFailures() {
+        statsByServer.values().forEach(ServerStats::recordPathSuccess);
+    }
+
     /** Removes the statistics of servers that are no longer registered and have no request of this VM in flight. */
     public void retain(ServerList servers) {
         statsByServer
--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -71,6 +71,7 @@
                 settings.seeds(),
                 random,
                 System.nanoTime());
+        settings.relayAddress().ifPresent(relay -> membership.acceptRelays(relay.getPort()));
         PrometheusRegistry registry = new PrometheusRegistry();
         CatalogReader reader = new MeteredCatalogReader(readers.apply(control), registry);
         FleetState state =
@@ -91,7 +92,7 @@
                 registry,
                 log);
         state.start(settings.meshAddress());
-        traffic.listen(settings.callerAddress());
+        traffic.listen(settings.callerAddress(), settings.relayAddress());
         PageServer.listen(
                         control,
                         settings.readinessAddress(),
--- a/coppershelf/src/main/java/io/coppershelf/gateway/GatewaySettings.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/GatewaySettings.java
@@ -15,6 +15,7 @@
  * @param readinessAddress the address at which the load balancer probes whether the VM is ready
  * @param readinessPath the path of these probes
  * @param meshAddress the address at which other VMs send their datagrams
+ * @param relayAddress the address at which other VMs that reach no server hand over requests; empty if they can't
  * @param seeds mesh addresses of some VMs; they may be wrong or down
  * @param metricsAddress the address at which metrics are served, on {@code /metrics}; empty if they are not served
  * @param headers the names of headers
@@ -30,6 +31,7 @@
         InetSocketAddress readinessAddress,
         String readinessPath,
         InetSocketAddress meshAddress,
+        Optional<InetSocketAddress> relayAddress,
         List<InetSocketAddress> seeds,
         Optional<InetSocketAddress> metricsAddress,
         HeaderNames headers,
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -18,6 +18,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -136,6 +137,16 @@
         });
     }
 
+    @Override
+    public Optional<InetSocketAddress> relay(Set<InetSocketAddress> excluded) {
+        return exchange.relay(excluded);
+    }
+
+    @Override
+    public void serversReachable(boolean isReachable) {
+        loop.execute(() -> exchange.announceReachable(isReachable, now()));
+    }
+
     @Override
     public FleetReports reports() {
         return reporting;
--- a/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
@@ -45,6 +45,8 @@
     private final Map<InetSocketAddress, Member> members = new HashMap<>();
     private long heartbeat;
     private boolean isLeaving;
+    private int relayPort;
+    private boolean isCutOff;
 
     /** Creates a membership of this VM alone. */
     public Membership(
@@ -73,6 +75,35 @@
         isLeaving = true;
     }
 
+    /** Sets the port at which this VM accepts requests of other VMs. */
+    public void acceptRelays(int port) {
+        relayPort = port;
+    }
+
+    /** Sets whether this VM reaches no server. */
+    void cutOff(boolean newCutOff) {
+        isCutOff = newCutOff;
+    }
+
+    /**
+     * Returns the addresses at which other VMs accept requests that this VM can't send to servers: of the own data
+     * centre if at least half of its VMs accept them, else of all.
+     */
+    List<InetSocketAddress> relays(long nowNanos) {
+        List<MemberEntry> live = members.values().stream()
+                .filter(member -> !member.isDown(nowNanos))
+                .map(member -> member.entry)
+                .toList();
+        List<MemberEntry> near =
+                live.stream().filter(vm -> vm.dataCentre().equals(dataCentre)).toList();
+        List<MemberEntry> nearAccepting =
+                near.stream().filter(MemberEntry::acceptsRelays).toList();
+        boolean isNearEnough = !nearAccepting.isEmpty() && 2 * nearAccepting.size() >= near.size() + 1;
+        return (isNearEnough ? nearAccepting.stream() : live.stream().filter(MemberEntry::acceptsRelays))
+                .map(MemberEntry::relayAddress)
+                .toList();
+    }
+
     /**
      * Merges the entries of a message of another VM. Its entry for itself is accepted even if it seems older: a VM
      * whose clock was set back restarts with a lower incarnation.
@@ -115,7 +146,7 @@
         others.sort(Comparator.comparingLong(member -> nowNanos - member.updatedAtNanos));
         int limit = isComplete ? others.size() : Math.min(MAX_ENTRIES_PER_MESSAGE, others.size());
         List<MemberEntry> entries = new ArrayList<>();
-        entries.add(new MemberEntry(self, dataCentre, incarnation, heartbeat, isLeaving));
+        entries.add(new MemberEntry(self, dataCentre, incarnation, heartbeat, isLeaving, relayPort, isCutOff));
         others.subList(0, limit).forEach(member -> entries.add(member.entry));
         return entries;
     }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MembershipExchange.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MembershipExchange.java
@@ -2,12 +2,17 @@
 
 import io.coppershelf.dispatch.FleetPosition;
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Exchanges the membership with other VMs, and publishes the position of this VM. Confined to the control thread. */
 final class MembershipExchange {
     private final Membership membership;
     private final FleetMessenger messenger;
     private volatile FleetPosition position;
+    private volatile List<InetSocketAddress> relays = List.of();
 
     MembershipExchange(Membership membership, FleetMessenger messenger) {
         this.membership = membership;
@@ -20,6 +25,21 @@
         return position;
     }
 
+    /** Returns the address of a random VM that accepts requests of this one; any thread may call this. */
+    Optional<InetSocketAddress> relay(Set<InetSocketAddress> excluded) {
+        List<InetSocketAddress> accepting =
+                relays.stream().filter(relay -> !excluded.contains(relay)).toList();
+        return accepting.isEmpty()
+                ? Optional.empty()
+                : Optional.of(accepting.get(ThreadLocalRandom.current().nextInt(accepting.size())));
+    }
+
+    /** Announces to all VMs whether this one reaches servers. */
+    void announceReachable(boolean isReachable, long nowNanos) {
+        membership.cutOff(!isReachable);
+        messenger.sendToAll(members(false, false, nowNanos), nowNanos);
+    }
+
     /** Sends what this VM knows to another one and requests what that one knows. */
     void gossip(long nowNanos) {
         membership
@@ -49,5 +69,6 @@
 
     private void updatePosition(long nowNanos) {
         position = membership.position(messenger.rank(nowNanos), nowNanos);
+        relays = membership.relays(nowNanos);
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -16,7 +16,7 @@
 
 /** Encodes and decodes the messages of the mesh. */
 final class MeshCodec {
-    private static final int VERSION = 3;
+    private static final int VERSION = 4;
     private static final int MEMBERS = 1;
     private static final int SERVER_SUMMARY = 2;
     private static final int CATALOG_UPDATE = 3;
@@ -169,6 +169,8 @@
         packer.packLong(member.incarnation());
         packer.packLong(member.heartbeat());
         packer.packBoolean(member.isLeaving());
+        packer.packInt(member.relayPort());
+        packer.packBoolean(member.isCutOff());
     }
 
     private static MemberEntry readMember(MessageUnpacker unpacker) throws IOException {
@@ -177,6 +179,8 @@
                 unpacker.unpackString(),
                 unpacker.unpackLong(),
                 unpacker.unpackLong(),
+                unpacker.unpackBoolean(),
+                unpacker.unpackInt(),
                 unpacker.unpackBoolean());
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -2,7 +2,6 @@
 
 import io.coppershelf.catalog.CallerLimits;
 import io.coppershelf.catalog.Route;
-import io.coppershelf.http.HttpAnswer;
 import io.coppershelf.outcome.ErrorKind;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -28,11 +27,8 @@
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -45,10 +41,9 @@
     /** Largest number of pipelined requests in the queue; reading pauses beyond it. */
     private static final int MAX_QUEUED = 16;
 
-    private static final double MILLIS_PER_SECOND = 1000;
-
     private final TrafficContext context;
     private final CallerLimits limits;
+    private final boolean isForRelays;
     private final RouteResolver routes;
     private final Deque<CallerRequest> queued = new ArrayDeque<>();
     private Optional<HttpRequest> head = Optional.empty();
@@ -62,11 +57,17 @@
     private Optional<ScheduledFuture<?>> idleTimer = Optional.empty();
     private Optional<ScheduledFuture<?>> headTimer = Optional.empty();
     private Channel channel;
-    private String callerAddress = "";
+    private String address = "";
 
-    CallerConnection(TrafficContext context, CallerLimits limits) {
+    /**
+     * Creates a connection on which nothing was received yet.
+     *
+     * @param isForRelays whether other VMs hand requests to this one over it
+     */
+    CallerConnection(TrafficContext context, CallerLimits limits, boolean isForRelays) {
         this.context = context;
         this.limits = limits;
+        this.isForRelays = isForRelays;
         routes = new RouteResolver(context);
     }
 
@@ -78,7 +79,7 @@
     @Override
     public void channelActive(ChannelHandlerContext handlerContext) {
         if (channel.remoteAddress() instanceof InetSocketAddress remote) {
-            callerAddress = remote.getAddress().getHostAddress();
+            address = remote.getAddress().getHostAddress();
         }
         startIdleTimer();
     }
@@ -172,16 +173,29 @@
         byte[] bytes = new byte[body.readableBytes()];
         body.readBytes(bytes);
         body = Unpooled.EMPTY_BUFFER;
-        queued.add(new CallerRequest(
-                callerAddress,
+        queued.add(callerRequest(request, bytes));
+        channel.config().setAutoRead(!isReadingStopped && queued.size() < MAX_QUEUED);
+        serveNext();
+    }
+
+    private CallerRequest callerRequest(HttpRequest request, byte[] bytes) {
+        HttpHeaders headers = request.headers();
+        String caller = address;
+        Optional<CallerRequest.Relay> relay = Optional.empty();
+        if (isForRelays) {
+            caller = headers.get(RelayHeaders.CALLER, "");
+            relay = Optional.of(new CallerRequest.Relay(address, RelayHeaders.servers(headers, 1)));
+            RelayHeaders.remove(headers);
+        }
+        return new CallerRequest(
+                caller,
+                relay,
                 request.method(),
                 request.uri(),
-                request.headers(),
+                headers,
                 bytes,
                 headAtNanos,
-                HttpUtil.isKeepAlive(request)));
-        channel.config().setAutoRead(!isReadingStopped && queued.size() < MAX_QUEUED);
-        serveNext();
+                HttpUtil.isKeepAlive(request));
     }
 
     private void serveNext() {
@@ -191,7 +205,7 @@
         isBusy = true;
         CallerRequest request = queued.remove();
         channel.config().setAutoRead(!isReadingStopped);
-        Sink sink = new Sink(request);
+        CallerSink sink = sink(request);
         Optional<Route> route = routes.resolve(request, sink);
         if (route.isEmpty()) {
             return;
@@ -267,9 +281,9 @@
             return;
         }
         isBusy = true;
-        CallerRequest unreadable =
-                new CallerRequest(callerAddress, HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false);
-        new Sink(unreadable).fail(kind, reason, kind.retryAfter());
+        CallerRequest unreadable = new CallerRequest(
+                address, Optional.empty(), HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false);
+        sink(unreadable).fail(kind, reason, kind.retryAfter());
     }
 
     private static ErrorKind malformed(Throwable cause) {
@@ -293,57 +307,36 @@
         handlerContext.close();
     }
 
-    /** Writes the answer to one request. */
-    private final class Sink implements AnswerSink {
-        private final CallerRequest request;
-
-        Sink(CallerRequest request) {
-            this.request = request;
-        }
+    private CallerSink sink(CallerRequest request) {
+        return new CallerSink(
+                context.names(),
+                request,
+                () -> execution.map(RequestExecution::serversReached).orElse(0),
+                this::write);
+    }
 
-        @Override
-        public void deliver(HttpAnswer answer) {
-            write(answer.status(), EndToEndHeaders.copy(answer.headers()), answer.body());
+    private void write(CallerRequest request, int status, HttpHeaders headers, byte[] bytes) {
+        boolean staysOpen =
+                request.isKeepAlive() && !isClosing && !context.state().isStopping();
+        if (status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code()) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(bytes.length));
         }
-
-        @Override
-        public void fail(ErrorKind kind, String reason, Optional<Duration> retryAfter) {
-            HttpHeaders headers = new DefaultHttpHeaders();
-            headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
-            headers.set("Coppershelf-Error", kind.code());
-            headers.set("Coppershelf-Outcome", kind.outcome().name().toLowerCase(Locale.ROOT));
-            String id = request.headers().get(context.names().requestId());
-            if (id != null) {
-                headers.set(context.names().requestId(), id);
-            }
-            retryAfter.ifPresent(delay ->
-                    headers.set(HttpHeaderNames.RETRY_AFTER, Double.toString(delay.toMillis() / MILLIS_PER_SECOND)));
-            write(kind.status(), headers, (reason + "\n").getBytes(StandardCharsets.UTF_8));
+        if (!staysOpen) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            isClosing = true;
         }
-
-        private void write(int status, HttpHeaders headers, byte[] bytes) {
-            boolean staysOpen =
-                    request.isKeepAlive() && !isClosing && !context.state().isStopping();
-            if (status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code()) {
-                headers.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(bytes.length));
-            }
-            if (!staysOpen) {
-                headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                isClosing = true;
-            }
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status),
-                    Unpooled.wrappedBuffer(bytes),
-                    headers,
-                    new DefaultHttpHeaders());
-            context.bodies().reserve(bytes.length);
-            ChannelFuture written = channel.writeAndFlush(response);
-            written.addListener(done -> context.bodies().release(bytes.length));
-            if (!staysOpen) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            }
-            answered(request, staysOpen);
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.wrappedBuffer(bytes),
+                headers,
+                new DefaultHttpHeaders());
+        context.bodies().reserve(bytes.length);
+        ChannelFuture written = channel.writeAndFlush(response);
+        written.addListener(done -> context.bodies().release(bytes.length));
+        if (!staysOpen) {
+            written.addListener(ChannelFutureListener.CLOSE);
         }
+        answered(request, staysOpen);
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ControlState.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ControlState.java
@@ -3,6 +3,9 @@
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.Catalog;
 import io.coppershelf.dispatch.FleetPosition;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.Set;
 
 /** The control state as the traffic path reads and updates it. All methods are thread-safe. */
 public interface ControlState {
@@ -18,6 +21,16 @@
     /** Records that a server announced that it leaves; it gets no new requests of the fleet. */
     void serverLeaving(BackendServer server);
 
+    /**
+     * Returns another live VM that reaches servers, as far as is known; empty if there is none.
+     *
+     * @param excluded the VMs that must not be chosen
+     */
+    Optional<InetSocketAddress> relay(Set<InetSocketAddress> excluded);
+
+    /** Records whether this VM reaches any server, and tells the other VMs. */
+    void serversReachable(boolean isReachable);
+
     /** Returns what receives the reports on servers. */
     FleetReports reports();
 }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CrashWatch.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CrashWatch.java
@@ -2,6 +2,7 @@
 
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.eventlog.Fields;
+import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.poison.CrashRecord;
 import io.coppershelf.poison.RequestFingerprint;
 import io.coppershelf.poison.RequestIdentity;
@@ -33,19 +34,28 @@
     }
 
     /**
-     * Handles the loss of the request at a server: the server crashed if it refuses a new connection. One that only
-     * dropped the request accepts it, and one that lost power, or whose path is broken, does not answer.
+     * Handles the loss of the request at a server, which may be due to the server or to the paths of this VM. A server
+     * that only dropped the request accepts a new connection. One that refuses it crashed, and one that lost power does
+     * not answer, if this VM reaches other servers.
      *
+     * @param observation what the loss shows of the server
      * @param next continues with the request; called at once, unless another server crashed under it before
      */
-    void attemptLost(BackendServer server, Runnable next) {
+    void attemptLost(BackendServer server, Observation observation, Runnable next) {
         boolean isSuspected = context.crashes().isOnRecord(identity);
         context.pool().check(server, state -> {
-            if (state == ServerConnectionPool.ServerState.REFUSING) {
-                recordCrash(server);
+            if (state == ServerConnectionPool.ServerState.ACCEPTING) {
+                context.state().reports().observed(server, observation);
+            } else {
+                context.monitor().ifReachable(() -> {
+                    context.state().reports().observed(server, observation);
+                    if (state == ServerConnectionPool.ServerState.REFUSING) {
+                        recordCrash(server);
+                    }
+                });
             }
             if (isSuspected) {
-                next.run();
+                context.monitor().whenSettled(next);
             }
         });
         if (!isSuspected) {
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -4,44 +4,24 @@
 import io.coppershelf.catalog.Catalog;
 import io.coppershelf.catalog.Route;
 import io.coppershelf.dispatch.AttemptAllocator;
-import io.coppershelf.dispatch.ChoiceInputs;
 import io.coppershelf.dispatch.PlanStep;
 import io.coppershelf.dispatch.RequestPlan;
 import io.coppershelf.dispatch.TypicalLatency;
-import io.coppershelf.eventlog.Fields;
-import io.coppershelf.http.HttpConnection;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
 /** Executes the plan of one request. Runs on the traffic thread. */
-final class RequestExecution implements AttemptAllocator, ServerAttempt.Listener {
+final class RequestExecution implements AttemptAllocator, Attempt.Listener {
     /** Deducted from the caller's timeout for the transfer of the answer. */
     private static final long ANSWER_TRANSFER_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
-    /**
-     * Longest idle time of a connection that is used for a request that can't be retried: a connection that was idle
-     * for longer may have failed silently, and the loss of the request costs far more than a new connection.
-     */
-    private static final long ONCE_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
-
-    /** Connections that a server accepts from the whole fleet if the configuration states no number. */
-    private static final int DEFAULT_CONNECTION_CAP = 100;
-    /** Connections to a server that each VM may always open, so that every VM of a large fleet can send requests. */
-    private static final int MIN_CONNECTIONS = 2;
 
     private static final int FIRST_SERVER_ERROR = 500;
-
     private final TrafficContext context;
     private final Route route;
     private final String service;
@@ -52,7 +32,9 @@
     private final TypicalLatency latency;
     private final RequestPlan plan;
     private final CrashWatch crashWatch;
-    private final List<ServerAttempt> attempts = new ArrayList<>();
+    private final RequestLog requestLog;
+    private final RequestWriter writer;
+    private final List<Attempt> attempts = new ArrayList<>();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private boolean isEnded;
 
@@ -74,17 +56,30 @@
         deadlineNanos = request.readAtNanos() + Math.min(route.timeout().toNanos(), remainingNanos);
         latency = context.latency(service, route.kind().name());
         crashWatch = new CrashWatch(context, request, requestId);
-        plan = new RequestPlan(route, this, deadlineNanos, latency);
+        requestLog = new RequestLog(context, route, service, request, requestId, deadlineNanos);
+        writer = new RequestWriter(context, route, service, request, deadlineNanos, this::reasonNotToSend);
+        int maxServers = request.relay()
+                .map(relay -> Math.min(relay.servers(), route.maxServers()))
+                .orElse(route.maxServers());
+        plan = new RequestPlan(route, maxServers, this, deadlineNanos, latency);
     }
 
     /** Starts the first attempt. */
     void start() {
         context.metrics().requestStarted();
         long now = System.nanoTime();
-        context.budget().countRequest(service, now);
+        if (!isCutOff()) {
+            // The VM that sends a relayed request counts it.
+            context.budget().countRequest(service, now);
+        }
         execute(plan.start(now));
     }
 
+    /** Returns the number of servers that the request was sent to. */
+    int serversReached() {
+        return plan.serversReached();
+    }
+
     /**
      * Handles the disconnection of the caller: attempts of a repeatable request are cancelled, others run to their end,
      * at most until their deadline.
@@ -121,6 +116,17 @@
         return crashWatch.quarantine(System.nanoTime());
     }
 
+    @Override
+    public boolean isCutOff() {
+        return context.reachability().isCutOff();
+    }
+
+    @Override
+    public Optional<InetSocketAddress> relay(Set<InetSocketAddress> excluded) {
+        // A request is handed on once only, so that it can't travel in a circle.
+        return request.relay().isPresent() ? Optional.empty() : context.state().relay(excluded);
+    }
+
     @Override
     public boolean canRetry() {
         return context.budget()
@@ -134,42 +140,53 @@
     }
 
     @Override
-    public void ended(int number, ServerAttempt.End end, String detail) {
-        if (end == ServerAttempt.End.LOST) {
-            crashWatch.attemptLost(attempts.get(number).server(), () -> proceed(number, end, detail));
+    public void ended(int number, Attempt.End end, String detail) {
+        if (attempts.get(number) instanceof ServerAttempt attempt
+                && attempt.unreportedLoss().isPresent()) {
+            crashWatch.attemptLost(
+                    attempt.server(), attempt.unreportedLoss().get(), () -> proceed(number, end, detail));
         } else {
             proceed(number, end, detail);
         }
     }
 
-    private void proceed(int number, ServerAttempt.End end, String detail) {
+    private void proceed(int number, Attempt.End end, String detail) {
         if (isEnded) {
             return;
         }
         long now = System.nanoTime();
-        ServerAttempt attempt = attempts.get(number);
-        if (end == ServerAttempt.End.ANSWERED) {
+        Attempt attempt = attempts.get(number);
+        if (end == Attempt.End.ANSWERED) {
             crashWatch.succeeded();
             latency.add(attempt.ageNanos());
         } else {
-            logAttempt(attempt, number, end.name(), detail);
+            requestLog.attemptEnded(attempt, number, end.name(), detail);
         }
         execute(
                 switch (end) {
                     case NOT_SENT -> plan.notSent(number, now);
-                    case NOT_RUN -> plan.notRun(number, now);
+                    case NOT_RUN -> notRun(attempt, number, now);
                     case ANSWERED -> plan.answered(number);
                     case FAILED -> plan.failed(number, now);
                     case LOST -> plan.lost(number, now);
                 });
     }
 
+    private List<PlanStep> notRun(Attempt attempt, int number, long nowNanos) {
+        return attempt instanceof RelayAttempt relayed
+                ? plan.relayNotRun(number, relayed.serversReached(), relayed.retryAfter(), nowNanos)
+                : plan.notRun(number, nowNanos);
+    }
+
     private void execute(List<PlanStep> steps) {
         for (PlanStep step : steps) {
             if (step instanceof PlanStep.Send send) {
                 send(send);
-            } else if (step instanceof PlanStep.ReportStall stall) {
-                attempts.get(stall.attempt()).reportStall();
+            } else if (step instanceof PlanStep.Relay relay) {
+                relay(relay);
+            } else if (step instanceof PlanStep.ReportStall stall
+                    && attempts.get(stall.attempt()) instanceof ServerAttempt stalled) {
+                stalled.reportStall();
             } else if (step instanceof PlanStep.Deliver deliver) {
                 end(deliver);
             } else if (step instanceof PlanStep.Fail fail) {
@@ -191,83 +208,30 @@
     private void send(PlanStep.Send send) {
         ServerAttempt attempt = new ServerAttempt(context, send.attempt(), send.server(), requestId, this);
         attempts.add(attempt);
-        long maxIdle = !route.kind().isRepeatable() ? ONCE_IDLE_NANOS : Long.MAX_VALUE;
-        context.pool()
-                .acquire(
-                        send.server(),
-                        maxIdle,
-                        maxConnections(),
-                        connection -> write(attempt, connection),
-                        attempt::connectFailed);
-    }
-
-    /** Returns this VM's share of the connections that a server accepts. */
-    private int maxConnections() {
-        int cap = context.state()
-                .catalog()
-                .configuration()
-                .map(configuration -> configuration.connectionCaps().get(service))
-                .orElse(DEFAULT_CONNECTION_CAP);
-        return Math.max(MIN_CONNECTIONS, cap / context.state().fleetPosition().size());
-    }
-
-    private void write(ServerAttempt attempt, HttpConnection connection) {
-        long now = System.nanoTime();
-        long remainingMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - now);
-        boolean isPaused = context.chooser().stats(attempt.server()).remainingPauseNanos(now) > 0;
-        boolean isDrained = context.state()
-                .catalog()
-                .servers()
-                .server(attempt.server().id())
-                .filter(known -> known.isAccepting() && known.isSameIncarnation(attempt.server()))
-                .isEmpty();
-        if (attempt.isEnded() || isEnded || isDrained || isPaused || remainingMillis <= 0) {
-            connection.close();
-            attempt.notSent(reasonNotSent(isDrained, isPaused));
-            return;
-        }
-        if (quarantine().isPresent()) {
-            connection.close();
-            attempt.notSent("the request is quarantined");
-            return;
-        }
-        attempt.connected(connection);
-        DefaultFullHttpRequest outgoing = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                request.method(),
-                request.uri(),
-                Unpooled.wrappedBuffer(request.body()),
-                headersFor(attempt.server(), remainingMillis),
-                new DefaultHttpHeaders());
-        connection.exchange(outgoing, attempt);
+        writer.send(attempt);
     }
 
-    private static String reasonNotSent(boolean isDrained, boolean isPaused) {
-        if (isDrained) {
-            return "the server is leaving";
-        }
-        return isPaused ? "the server asked for a pause" : "no time is left";
+    private void relay(PlanStep.Relay relay) {
+        RelayAttempt attempt = new RelayAttempt(context, relay.attempt(), relay.vm(), requestId, this);
+        attempts.add(attempt);
+        writer.send(attempt, relay.servers());
     }
 
-    private HttpHeaders headersFor(BackendServer server, long remainingMillis) {
-        HttpHeaders headers = EndToEndHeaders.copy(request.headers());
-        headers.set(context.names().deadlineMillis(), Long.toString(remainingMillis));
-        headers.set(context.names().targetServer(), server.id());
-        if (request.body().length > 0 || EndToEndHeaders.declaresBody(request.headers())) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(request.body().length));
+    private Optional<String> reasonNotToSend() {
+        if (isEnded) {
+            return Optional.of("the request has ended");
         }
-        return headers;
+        return quarantine().map(remaining -> "the request is quarantined");
     }
 
     private void end(PlanStep.Deliver deliver) {
-        ServerAttempt attempt = attempts.get(deliver.attempt());
+        Attempt attempt = attempts.get(deliver.attempt());
         isEnded = true;
         cancelAttempts();
         boolean isSuccess = attempt.answer().status() < FIRST_SERVER_ERROR;
         recordEnd(
                 isSuccess ? "answered" : "server-failure",
-                "status " + attempt.answer().status() + " of "
-                        + attempt.server().id(),
+                "status " + attempt.answer().status() + " of " + attempt.target(),
                 isSuccess);
         sink.deliver(attempt.answer());
     }
@@ -282,54 +246,15 @@
     private void cancelAttempts() {
         timer.ifPresent(scheduled -> scheduled.cancel(false));
         for (int i = 0; i < attempts.size(); i++) {
-            ServerAttempt attempt = attempts.get(i);
+            Attempt attempt = attempts.get(i);
             if (!attempt.isEnded()) {
-                logAttempt(attempt, i, "CANCELLED", "no answer until the request ended");
+                requestLog.attemptEnded(attempt, i, "CANCELLED", "no answer until the request ended");
                 attempt.cancel();
             }
         }
     }
 
     private void recordEnd(String outcome, String reason, boolean isRoutine) {
-        long tookNanos = System.nanoTime() - request.readAtNanos();
-        context.metrics().requestEnded();
-        context.metrics().recordRequest(outcome, tookNanos);
-        Map<String, Object> fields = Fields.of(
-                "request", requestId,
-                "route", route.name(),
-                "service", service,
-                "outcome", outcome,
-                "reason", reason,
-                "tookMs", TimeUnit.NANOSECONDS.toMillis(tookNanos),
-                "leftMs", TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime()),
-                "servers", plan.serversReached(),
-                "attempts", attempts.size());
-        if (isRoutine) {
-            context.log().routine("request-ended", fields);
-        } else {
-            // Tell which failed requests are the same; their ids differ.
-            fields.put("caller", request.caller());
-            fields.put("fingerprint", crashWatch.fingerprint().toString());
-            context.log().important("request-ended", fields);
-        }
-    }
-
-    private void logAttempt(ServerAttempt attempt, int number, String end, String detail) {
-        Catalog catalog = context.state().catalog();
-        ChoiceInputs inputs = attempt.inputs();
-        context.log()
-                .important(
-                        "attempt-ended",
-                        Fields.of(
-                                "request", requestId,
-                                "attempt", number,
-                                "server", attempt.server().id(),
-                                "end", end,
-                                "detail", detail,
-                                "tookMs", TimeUnit.NANOSECONDS.toMillis(attempt.ageNanos()),
-                                "sicknessThen", inputs.unhealthyProbability(),
-                                "observedMsBefore", inputs.observationAge().toMillis(),
-                                "busyThen", inputs.load(),
-                                "serversRevision", catalog.servers().revision()));
+        requestLog.ended(outcome, reason, isRoutine, plan.serversReached(), attempts.size(), crashWatch);
     }
 }
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestLog.java
@@ -0,0 +1,80 @@
+package io.coppershelf.proxy;
+
+import io.coppershelf.catalog.Catalog;
+import io.coppershelf.catalog.Route;
+import io.coppershelf.dispatch.ChoiceInputs;
+import io.coppershelf.eventlog.Fields;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Writes the log lines and metrics of one request. */
+final class RequestLog {
+    private final TrafficContext context;
+    private final Route route;
+    private final String service;
+    private final CallerRequest request;
+    private final String requestId;
+    private final long deadlineNanos;
+
+    RequestLog(
+            TrafficContext context,
+            Route route,
+            String service,
+            CallerRequest request,
+            String requestId,
+            long deadlineNanos) {
+        this.context = context;
+        this.route = route;
+        this.service = service;
+        this.request = request;
+        this.requestId = requestId;
+        this.deadlineNanos = deadlineNanos;
+    }
+
+    /** Records the end of the request. */
+    void ended(String outcome, String reason, boolean isRoutine, int serversReached, int attempts, CrashWatch crashes) {
+        long now = System.nanoTime();
+        long tookNanos = now - request.readAtNanos();
+        context.metrics().requestEnded();
+        context.metrics().recordRequest(outcome, tookNanos);
+        Map<String, Object> fields = Fields.of(
+                "request", requestId,
+                "route", route.name(),
+                "service", service,
+                "outcome", outcome,
+                "reason", reason,
+                "tookMs", TimeUnit.NANOSECONDS.toMillis(tookNanos),
+                "leftMs", TimeUnit.NANOSECONDS.toMillis(deadlineNanos - now),
+                "servers", serversReached,
+                "attempts", attempts);
+        request.relay().ifPresent(relay -> fields.put("relayedBy", relay.vm()));
+        if (isRoutine) {
+            context.log().routine("request-ended", fields);
+        } else {
+            // Tell which failed requests are the same; their ids differ.
+            fields.put("caller", request.caller());
+            fields.put("fingerprint", crashes.fingerprint().toString());
+            context.log().important("request-ended", fields);
+        }
+    }
+
+    /** Logs the end of an attempt that gave no good answer. */
+    void attemptEnded(Attempt attempt, int number, String end, String detail) {
+        Catalog catalog = context.state().catalog();
+        Map<String, Object> fields = Fields.of(
+                "request", requestId,
+                "attempt", number,
+                "server", attempt.target(),
+                "end", end,
+                "detail", detail,
+                "tookMs", TimeUnit.NANOSECONDS.toMillis(attempt.ageNanos()));
+        if (attempt instanceof ServerAttempt sent) {
+            ChoiceInputs inputs = sent.inputs();
+            fields.put("sicknessThen", inputs.unhealthyProbability());
+            fields.put("observedMsBefore", inputs.observationAge().toMillis());
+            fields.put("busyThen", inputs.load());
+        }
+        fields.put("serversRevision", catalog.servers().revision());
+        context.log().important("attempt-ended", fields);
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
@@ -13,29 +13,9 @@
 
 /**
  * One attempt of a request at one server: sends the request, classifies the end, and reports the resulting observation
- * of the server.
+ * of the server, but for that of a lost connection, which may be due to the path of this VM.
  */
-final class ServerAttempt implements AnswerListener {
-    /** How an attempt ended. */
-    enum End {
-        /** No byte was sent. */
-        NOT_SENT,
-        /** The server stated that it has not run the request. */
-        NOT_RUN,
-        /** A complete answer of the server that is not a failure. */
-        ANSWERED,
-        /** A complete answer of the server that reports a failure of its own. */
-        FAILED,
-        /** No valid answer; the request may have run. */
-        LOST
-    }
-
-    /** Receives the end of the attempt. */
-    interface Listener {
-        /** Called once, when the attempt has ended. */
-        void ended(int attempt, End end, String detail);
-    }
-
+final class ServerAttempt implements Attempt, AnswerListener {
     private static final int STATUS_TOO_MANY = 429;
     private static final int STATUS_MISDIRECTED = 421;
     private static final int STATUS_REQUEST_TIMEOUT = 408;
@@ -53,6 +33,7 @@
     private final long startedNanos = System.nanoTime();
     private Optional<HttpConnection> connection = Optional.empty();
     private Optional<HttpAnswer> answer = Optional.empty();
+    private Optional<Observation> unreportedLoss = Optional.empty();
     private boolean isEnded;
     private boolean isStallReported;
 
@@ -78,52 +59,65 @@
         return inputs;
     }
 
-    /** Returns the answer; the attempt must have ended with one. */
-    HttpAnswer answer() {
+    /**
+     * Returns what the loss of the connection before any byte of an answer shows of the server, if the paths of this VM
+     * are not the cause.
+     */
+    Optional<Observation> unreportedLoss() {
+        return unreportedLoss;
+    }
+
+    @Override
+    public String target() {
+        return server.id();
+    }
+
+    @Override
+    public HttpAnswer answer() {
         return answer.orElseThrow();
     }
 
-    boolean isEnded() {
+    @Override
+    public boolean isEnded() {
         return isEnded;
     }
 
-    /** Records the connection over which the request is sent next. */
-    void connected(HttpConnection opened) {
+    @Override
+    public void connected(HttpConnection opened) {
         connection = Optional.of(opened);
         stats.recordPathSuccess();
+        context.reachability().requestSent(System.nanoTime());
     }
 
-    /** Ends the attempt because there is no connection; nothing was sent. */
-    void connectFailed(String reason) {
+    @Override
+    public void connectFailed(String reason) {
         if (!isEnded) {
             stats.recordPathFailure(System.nanoTime());
             end(End.NOT_SENT, reason);
         }
     }
 
-    /** Ends the attempt before the request was sent, although there was a connection. */
-    void notSent(String reason) {
+    @Override
+    public void notSent(String reason) {
         if (!isEnded) {
             end(End.NOT_SENT, reason);
         }
     }
 
-    /** Reports to the fleet that the server is much slower than typical. */
+    /** Reports to the fleet that the server is much slower than typical, unless no server has answered meanwhile. */
     void reportStall() {
-        if (!isEnded && !isStallReported) {
+        if (!isEnded && !isStallReported && context.reachability().hasSignOfLifeSince(startedNanos)) {
             isStallReported = true;
             context.state().reports().observed(server, Observation.STALL);
         }
     }
 
-    /** Cancels the request at the server by closing the connection; the listener is not called. */
-    void cancel() {
+    @Override
+    public void cancel() {
         if (isEnded) {
             return;
         }
-        isEnded = true;
-        stats.requestEnded();
-        context.state().reports().loadChanged(server, stats.inFlight(), false);
+        recordEnd(false);
         connection.ifPresent(HttpConnection::close);
         context.metrics().recordAttempt("cancelled");
     }
@@ -169,12 +163,16 @@
         if (isEnded) {
             return;
         }
-        context.state().reports().observed(server, isGarbled ? Observation.GARBLED : Observation.FAILURE);
+        if (isGarbled) {
+            context.state().reports().observed(server, Observation.GARBLED);
+        } else {
+            unreportedLoss = Optional.of(Observation.FAILURE);
+        }
         end(End.LOST, reason);
     }
 
-    /** Returns the time since the start of the attempt, in nanoseconds. */
-    long ageNanos() {
+    @Override
+    public long ageNanos() {
         return System.nanoTime() - startedNanos;
     }
 
@@ -197,10 +195,17 @@
     }
 
     private void end(End end, String detail) {
+        recordEnd(unreportedLoss.isEmpty());
+        context.metrics().recordAttempt(end.name().toLowerCase(Locale.ROOT));
+        listener.ended(number, end, detail);
+    }
+
+    private void recordEnd(boolean isAnswered) {
         isEnded = true;
         stats.requestEnded();
         context.state().reports().loadChanged(server, stats.inFlight(), false);
-        context.metrics().recordAttempt(end.name().toLowerCase(Locale.ROOT));
-        listener.ended(number, end, detail);
+        if (connection.isPresent()) {
+            context.reachability().requestEnded(isAnswered, System.nanoTime());
+        }
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerConnectionPool.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerConnectionPool.java
@@ -25,11 +25,22 @@
         UNKNOWN
     }
 
+    /** Observes the outcomes of new connections. */
+    interface Observer {
+        /** Called when a connection to a server is open. */
+        void connected(String serverId);
+
+        /** Called when a server could not be reached. */
+        void failed(String serverId);
+    }
+
     private final HttpConnector connector;
+    private final Optional<Observer> observer;
     private final Map<String, ServerConnections> connectionsByServer = new HashMap<>();
 
-    ServerConnectionPool(HttpConnector connector) {
+    ServerConnectionPool(HttpConnector connector, Optional<Observer> observer) {
         this.connector = connector;
+        this.observer = observer;
     }
 
     /**
@@ -58,9 +69,13 @@
         connections.open++;
         connector.open(
                 server.address(),
-                onOpen,
+                connection -> {
+                    observer.ifPresent(observing -> observing.connected(server.id()));
+                    onOpen.accept(connection);
+                },
                 cause -> {
                     connections.open--;
+                    observer.ifPresent(observing -> observing.failed(server.id()));
                     onFailure.accept(cause.toString());
                 },
                 connections.idle::addFirst,
@@ -78,10 +93,12 @@
                 server.address(),
                 connection -> {
                     connections.idle.addFirst(connection);
+                    observer.ifPresent(observing -> observing.connected(server.id()));
                     onResult.accept(ServerState.ACCEPTING);
                 },
                 cause -> {
                     connections.open--;
+                    observer.ifPresent(observing -> observing.failed(server.id()));
                     boolean isRefused =
                             cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
                     onResult.accept(isRefused ? ServerState.REFUSING : ServerState.UNKNOWN);
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
@@ -2,6 +2,7 @@
 
 import io.coppershelf.dispatch.FleetRetryBudget;
 import io.coppershelf.dispatch.ServerChooser;
+import io.coppershelf.dispatch.ServerReachability;
 import io.coppershelf.dispatch.TypicalLatency;
 import io.coppershelf.dispatch.WeightedRoundRobin;
 import io.coppershelf.eventlog.EventLog;
@@ -15,6 +16,8 @@
  * The state that all requests of this VM share. Confined to the traffic thread.
  *
  * @param loop the traffic thread
+ * @param pool the connections to servers
+ * @param relayPool the connections to other VMs
  */
 record TrafficContext(
         EventLoop loop,
@@ -24,6 +27,9 @@
         FleetRetryBudget budget,
         WeightedRoundRobin roundRobin,
         ServerConnectionPool pool,
+        ServerConnectionPool relayPool,
+        ServerReachability reachability,
+        ReachabilityMonitor monitor,
         TrafficMetrics metrics,
         EventLog log,
         BodyMemory bodies,
@@ -38,12 +44,29 @@
             FleetRetryBudget budget,
             WeightedRoundRobin roundRobin,
             ServerConnectionPool pool,
+            ServerConnectionPool relayPool,
+            ServerReachability reachability,
+            ReachabilityMonitor monitor,
             TrafficMetrics metrics,
             EventLog log,
             BodyMemory bodies,
             CrashRecords crashes) {
         return new TrafficContext(
-                loop, names, state, chooser, budget, roundRobin, pool, metrics, log, bodies, crashes, new HashMap<>());
+                loop,
+                names,
+                state,
+                chooser,
+                budget,
+                roundRobin,
+                pool,
+                relayPool,
+                reachability,
+                monitor,
+                metrics,
+                log,
+                bodies,
+                crashes,
+                new HashMap<>());
     }
 
     /** Returns the typical latency of a service for one kind of requests, whatever their route. */
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficMetrics.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficMetrics.java
@@ -13,6 +13,7 @@
 
     private final Counter requests;
     private final Counter attempts;
+    private final Counter relays;
     private final Counter crashes;
     private final Histogram duration;
     private final AtomicInteger inFlight = new AtomicInteger();
@@ -28,6 +29,11 @@
                 .help("Requests sent to backend servers by outcome")
                 .labelNames("outcome")
                 .register(registry);
+        relays = Counter.builder()
+                .name("coppershelf_relays_total")
+                .help("Requests handed to other VMs by outcome")
+                .labelNames("outcome")
+                .register(registry);
         crashes = Counter.builder()
                 .name("coppershelf_server_crashes_total")
                 .help("Crashes of backend servers while they ran a request of this VM, one for each such request")
@@ -58,6 +64,10 @@
         duration.observe(nanos / NANOS_PER_SECOND);
     }
 
+    void recordRelay(String outcome) {
+        relays.labelValues(outcome).inc();
+    }
+
     void recordCrash() {
         crashes.inc();
     }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -8,6 +8,7 @@
 import io.coppershelf.dispatch.IdleServerTracker;
 import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.dispatch.ServerLimits;
+import io.coppershelf.dispatch.ServerReachability;
 import io.coppershelf.dispatch.WeightedRoundRobin;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.health.estimate.HealthEstimates;
@@ -32,6 +33,8 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -51,10 +54,14 @@
 
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
     private static final long SWEEP_MILLIS = 1000;
+    /** Interval at which checks of the paths to servers become due. */
+    private static final long CHECK_MILLIS = 50;
+    /** Room for the headers that a VM adds to the head of a caller's request. */
+    private static final int RELAY_HEAD_BYTES = 512;
 
     private final TrafficContext context;
     private final ChannelGroup callers;
-    private Optional<Channel> listener = Optional.empty();
+    private final List<Channel> listeners = new ArrayList<>();
 
     /**
      * Creates a server that does not listen yet.
@@ -77,23 +84,65 @@
             EventLog log) {
         Random random = new Random();
         BodyMemory bodies = new BodyMemory(BODY_BYTES);
+        HttpConnector connector = new HttpConnector(loop, CONNECT_TIMEOUT, bodies);
+        ServerReachability reachability = new ServerReachability(random);
+        ServerConnectionPool pool = new ServerConnectionPool(connector, Optional.of(observer(reachability, state)));
+        ServerChooser chooser =
+                new ServerChooser(dataCentre, estimates, fleetLoad, idleServers, limits, state::fleetPosition, random);
+        ReachabilityMonitor monitor = new ReachabilityMonitor(reachability, pool, state, log, isReachable -> {
+            state.serversReachable(isReachable);
+            if (isReachable) {
+                // The failures of the last seconds were those of this VM's own paths.
+                chooser.forgetPathFailures();
+            }
+        });
         callers = new DefaultChannelGroup(loop);
         context = TrafficContext.create(
                 loop,
                 names,
                 state,
-                new ServerChooser(dataCentre, estimates, fleetLoad, idleServers, limits, state::fleetPosition, random),
+                chooser,
                 budget,
                 new WeightedRoundRobin(random),
-                new ServerConnectionPool(new HttpConnector(loop, CONNECT_TIMEOUT, bodies)),
+                pool,
+                new ServerConnectionPool(connector, Optional.empty()),
+                reachability,
+                monitor,
                 new TrafficMetrics(registry),
                 log,
                 bodies,
                 crashes);
     }
 
-    /** Starts to listen and to serve callers. */
-    public void listen(InetSocketAddress address) {
+    private static ServerConnectionPool.Observer observer(ServerReachability reachability, ControlState state) {
+        return new ServerConnectionPool.Observer() {
+            @Override
+            public void connected(String serverId) {
+                reachability.connected(serverId, System.nanoTime());
+            }
+
+            @Override
+            public void failed(String serverId) {
+                reachability.connectFailed(
+                        serverId, state.catalog().servers().all().size());
+            }
+        };
+    }
+
+    /**
+     * Starts to listen and to serve callers.
+     *
+     * @param relayAddress where other VMs hand requests to this one, empty if they can't
+     */
+    public void listen(InetSocketAddress address, Optional<InetSocketAddress> relayAddress) {
+        listeners.add(bind(address, false));
+        relayAddress.ifPresent(relay -> listeners.add(bind(relay, true)));
+        context.loop().scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        context.loop()
+                .scheduleWithFixedDelay(context.monitor()::poll, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private Channel bind(InetSocketAddress address, boolean isForRelays) {
         ChannelFuture bound = new ServerBootstrap()
                 .group(context.loop(), context.loop())
                 .channel(NioServerSocketChannel.class)
@@ -101,11 +150,10 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new CallerInitializer())
+                .childHandler(new CallerInitializer(isForRelays))
                 .bind(address)
                 .syncUninterruptibly();
-        listener = Optional.of(bound.channel());
-        context.loop().scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        return bound.channel();
     }
 
     /** Returns the number of requests that have no answer yet. */
@@ -124,7 +172,7 @@
     public void stopReading() {
         context.loop()
                 .submit(() -> {
-                    listener.ifPresent(Channel::close);
+                    listeners.forEach(Channel::close);
                     callers.forEach(channel ->
                             channel.pipeline().get(CallerConnection.class).stopReading());
                 })
@@ -134,6 +182,7 @@
     private void sweep() {
         Catalog catalog = context.state().catalog();
         context.pool().sweep(catalog.servers(), System.nanoTime());
+        context.relayPool().sweep(catalog.servers(), System.nanoTime());
         context.chooser().retain(catalog.servers());
     }
 
@@ -159,6 +208,12 @@
 
     /** Sets up the pipeline of a caller's connection. */
     private final class CallerInitializer extends ChannelInitializer<Channel> {
+        private final boolean isForRelays;
+
+        CallerInitializer(boolean isForRelays) {
+            this.isForRelays = isForRelays;
+        }
+
         @Override
         protected void initChannel(Channel channel) {
             CallerLimits limits = context.state()
@@ -167,10 +222,11 @@
                     .map(FleetConfiguration::limits)
                     .orElse(CallerLimits.DEFAULT);
             callers.add(channel);
-            CallerConnection connection = new CallerConnection(context, limits);
+            CallerConnection connection = new CallerConnection(context, limits, isForRelays);
+            int headBytes = limits.headBytes() + (isForRelays ? RELAY_HEAD_BYTES : 0);
             channel.pipeline()
                     .addLast(new ByteArrivalHandler(connection))
-                    .addLast(new HttpServerCodec(limits.headBytes(), limits.headBytes(), MAX_CHUNK_BYTES))
+                    .addLast(new HttpServerCodec(headBytes, headBytes, MAX_CHUNK_BYTES))
                     .addLast(connection);
         }
     }
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
@@ -7,8 +7,10 @@
 import io.coppershelf.outcome.ErrorKind;
 import io.coppershelf.outcome.Outcome;
 import io.coppershelf.testing.Catalogs;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -100,6 +102,80 @@
                 .isFalse();
     }
 
+    @Test
+    void requestOfAVmThatReachesNoServerIsHandedToAnotherVmWithAllItsServers() {
+        cutOff("10.0.0.1");
+        PlanStep.Relay relay = relay(plan(RequestKind.ONCE, allocator).start(0));
+        assertThat(relay.vm()).isEqualTo(allocator.vms.get(0));
+        assertThat(relay.servers()).isEqualTo(2);
+    }
+
+    @Test
+    void requestThatAnotherVmHasNotRunIsHandedToTheNextAndThenRefusedWithItsTimeToRetry() {
+        cutOff("10.0.0.1", "10.0.0.2");
+        RequestPlan plan = plan(RequestKind.ONCE, allocator);
+        plan.start(0);
+        PlanStep.Relay second = relay(plan.relayNotRun(0, 0, Optional.empty(), MILLI));
+        assertThat(second.vm()).isEqualTo(allocator.vms.get(1));
+        PlanStep.Fail fail = fail(plan.relayNotRun(1, 0, Optional.of(Duration.ofSeconds(3)), MILLI));
+        assertThat(fail.kind().outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(fail.retryAfter()).hasValue(Duration.ofSeconds(3));
+    }
+
+    /** Guards against work that runs again, or is called not run, after another VM with it was lost. */
+    @Test
+    void requestThatIsLostAtAnotherVmIsNotSentAgain() {
+        for (RequestKind kind : List.of(RequestKind.ONCE, RequestKind.REPEATABLE)) {
+            cutOff("10.0.0.1", "10.0.0.2");
+            RequestPlan plan = plan(kind, allocator);
+            plan.start(0);
+            assertThat(fail(plan.lost(0, MILLI)).kind().outcome()).isEqualTo(Outcome.UNKNOWN);
+        }
+    }
+
+    @Test
+    void serversThatAnotherVmUsedCountAsThoseOfTheRequest() {
+        cutOff("10.0.0.1", "10.0.0.2");
+        RequestPlan plan = plan(RequestKind.REPEATABLE, allocator);
+        plan.start(0);
+        assertThat(relay(plan.relayNotRun(0, 1, Optional.empty(), MILLI)).servers())
+                .isEqualTo(1);
+    }
+
+    @Test
+    void requestIsRefusedAtOnceIfNoVmReachesServers() {
+        cutOff();
+        PlanStep.Fail fail = fail(plan(RequestKind.ONCE, allocator).start(0));
+        assertThat(fail.kind()).isEqualTo(ErrorKind.NO_SERVER);
+        assertThat(fail.retryAfter()).isPresent();
+    }
+
+    /** Guards against requests that each wait for a timeout of their own to learn that no server can be reached. */
+    @Test
+    void repeatableRequestInFlightIsHandedOnWhenItIsSlowAndTheVmIsCutOff() {
+        RequestPlan plan = started(RequestKind.REPEATABLE);
+        cutOff("10.0.0.1");
+        assertThat(relay(plan.timerExpired(plan.nextTimer(0))).servers()).isEqualTo(1);
+    }
+
+    @Test
+    void retryAtAnotherVmNeedsBudget() {
+        allocator.hasBudget = false;
+        RequestPlan plan = started(RequestKind.REPEATABLE);
+        cutOff("10.0.0.1");
+        assertThat(fail(plan.lost(0, MILLI)).kind()).isEqualTo(ErrorKind.SERVER_LOST);
+    }
+
+    private void cutOff(String... vms) {
+        allocator.isCutOff = true;
+        allocator.vms =
+                Arrays.stream(vms).map(vm -> new InetSocketAddress(vm, 1)).toList();
+    }
+
+    private static PlanStep.Relay relay(List<PlanStep> steps) {
+        return (PlanStep.Relay) steps.get(0);
+    }
+
     @Test
     void emptyBudgetPreventsARetry() {
         allocator.hasBudget = false;
@@ -207,6 +283,8 @@
         private boolean hasBudget = true;
         private Optional<Duration> pause = Optional.empty();
         private Optional<Duration> quarantine = Optional.empty();
+        private boolean isCutOff;
+        private List<InetSocketAddress> vms = List.of();
         private boolean isLastAttempt;
 
         FakeAllocator(String... ids) {
@@ -233,6 +311,16 @@
             return quarantine;
         }
 
+        @Override
+        public boolean isCutOff() {
+            return isCutOff;
+        }
+
+        @Override
+        public Optional<InetSocketAddress> relay(Set<InetSocketAddress> excluded) {
+            return vms.stream().filter(vm -> !excluded.contains(vm)).findFirst();
+        }
+
         @Override
         public boolean canRetry() {
             return hasBudget;
--- a/coppershelf/src/test/java/io/coppershelf/gateway/CutOffVmTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/gateway/CutOffVmTest.java
@@ -89,6 +89,7 @@
                 readiness,
                 "/readiness",
                 mesh,
+                Optional.of(FreePorts.address()),
                 List.of(meshAddress),
                 Optional.empty(),
                 new HeaderNames("Request-Id", "Deadline", "Target", "Signature", "Not-Run", "Leaving", "Limit", "Load"),
--- a/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
@@ -6,18 +6,32 @@
 import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.poison.CrashRecord;
 import io.coppershelf.poison.RequestFingerprint;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A control state that a test sets. */
 final class FakeControlState implements ControlState, FleetReports {
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile boolean isStopping;
+    private volatile List<InetSocketAddress> relays = List.of();
+    private final List<Boolean> reachable = new CopyOnWriteArrayList<>();
     private final List<String> leaving = new CopyOnWriteArrayList<>();
     private final List<Optional<Double>> limits = new CopyOnWriteArrayList<>();
     private final List<Observation> observations = new CopyOnWriteArrayList<>();
 
+    /** Sets the addresses of other VMs that accept requests of this one. */
+    void relays(InetSocketAddress... addresses) {
+        relays = List.of(addresses);
+    }
+
+    /** Returns whether servers were reachable, after each change. */
+    List<Boolean> reachable() {
+        return reachable;
+    }
+
     void use(Catalog newCatalog) {
         catalog = newCatalog;
     }
@@ -45,6 +59,16 @@
         return isStopping;
     }
 
+    @Override
+    public Optional<InetSocketAddress> relay(Set<InetSocketAddress> excluded) {
+        return relays.stream().filter(relay -> !excluded.contains(relay)).findFirst();
+    }
+
+    @Override
+    public void serversReachable(boolean isReachable) {
+        reachable.add(isReachable);
+    }
+
     @Override
     public FleetReports reports() {
         return this;
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -46,6 +46,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final FakeControlState state = new FakeControlState();
     private final InetSocketAddress address;
+    private final InetSocketAddress relayAddress;
     private final TrafficServer server;
 
     ProxyFixture() {
@@ -63,7 +64,8 @@
                 "here",
                 new PrometheusRegistry(),
                 EventLog.NONE);
-        server.listen(address);
+        relayAddress = FreePorts.address();
+        server.listen(address, Optional.of(relayAddress));
     }
 
     /** Routes all requests to the servers. */
@@ -89,6 +91,11 @@
         state.use(new Catalog(Optional.of(configuration), ServerList.of(Catalogs.revision(1), list)));
     }
 
+    /** Returns the address at which other VMs hand over requests. */
+    InetSocketAddress relayAddress() {
+        return relayAddress;
+    }
+
     TrafficServer server() {
         return server;
     }
