Settle whether servers are reachable also if few accept requests

A VM that knows servers which drain could wait for checks of servers that it must not use, and neither hand requests on nor report lost ones. Found by reading, seen in no play. It now counts as cut off once no server is left to check, which ServerReachabilityTest.vmIsCutOffOnceNoServerIsLeftToCheck tests.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerReachability.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerReachability.java
@@ -123,6 +123,8 @@
                 chosen.add(server);
             }
         }
+        // No server is left that could settle the doubt.
+        isCutOff = isCutOff || (isInDoubt() && beingChecked.isEmpty());
         return chosen;
     }
 
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServerReachabilityTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerReachabilityTest.java
@@ -65,6 +65,19 @@
         assertThat(reachability.isCutOff()).isTrue();
     }
 
+    /** Guards against a doubt that never ends since fewer servers accept requests than are known. */
+    @Test
+    void vmIsCutOffOnceNoServerIsLeftToCheck() {
+        servers.subList(2, servers.size()).clear();
+        reachability.connectFailed("i-0", 12);
+        for (BackendServer server : poll(0)) {
+            reachability.connectFailed(server.id(), 12);
+        }
+        assertThat(reachability.isCutOff()).isFalse();
+        assertThat(poll(0)).isEmpty();
+        assertThat(reachability.isCutOff()).isTrue();
+    }
+
     /** Guards against requests that wait on connections which have fallen silent, without any new connection. */
     @Test
     void serverIsCheckedIfNoneAnswersWhileRequestsAreInFlight() {
