State that a relayed request which can't be read has not run

A VM that refuses to read a relayed request, for instance since no memory is free for its body, answered without the result of the relay, so the VM with the caller had to assume that the request may have run, and answered 502. Found by reading; RelayTest shows the header that was missing.

--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -281,8 +281,10 @@
             return;
         }
         isBusy = true;
-        CallerRequest unreadable = new CallerRequest(
-                address, Optional.empty(), HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false);
+        Optional<CallerRequest.Relay> relay =
+                isForRelays ? Optional.of(new CallerRequest.Relay(address, 0)) : Optional.empty();
+        CallerRequest unreadable =
+                new CallerRequest(address, relay, HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false);
         sink(unreadable).fail(kind, reason, kind.retryAfter());
     }
 
--- a/coppershelf/src/test/java/io/coppershelf/proxy/RelayTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/RelayTest.java
@@ -97,6 +97,16 @@
         assertThat(Double.parseDouble(reply.header("Retry-After"))).isGreaterThan(0.0);
     }
 
+    /** Guards against a request being called possibly run that the other VM could not even read. */
+    @Test
+    void requestThatTheOtherVmRefusesToReadIsNotRun() throws IOException {
+        serve(request -> ProxyFixture.answer(request, 200, "whole"));
+        String head = "POST /once/1 HTTP/1.1\nHost: host\nRequest-Id: r1\nContent-Length: 999999\n\n";
+        RawCaller.Reply reply = RawCaller.exchange(other.relayAddress(), head);
+        assertThat(reply.status()).isEqualTo(413);
+        assertThat(reply.header(RelayHeaders.RESULT)).isEqualTo(RelayHeaders.Result.NOT_RUN.name());
+    }
+
     /** Guards against a request that VMs which reach no server hand to each other in a circle. */
     @Test
     void vmsThatAllReachNoServerRefuseAtOnce() throws IOException {
