Test which VMs get requests of others, and start two VMs in one place

MembershipTest covers that a VM which reaches no server, stops, or announces no port gets none. FleetStateTest starts its pairs of VMs with one method; its assertions are as before.

--- a/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
@@ -38,6 +38,8 @@
 /** Scenario: two VMs run on the loopback interface, and the platform refuses the requests of one of them. */
 @Timeout(20)
 final class FleetStateTest {
+    private static final RequestIdentity REQUEST = new RequestIdentity("10.0.0.1", "GET", "host", "/a", new byte[0]);
+
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final InetSocketAddress first = FreePorts.address();
     private final InetSocketAddress second = FreePorts.address();
@@ -112,39 +114,40 @@
     /** Guards against a request that crashed servers and is sent on by another VM, or by one that starts later. */
     @Test
     void quarantinedRequestIsKnownToTheOtherVmAndToOneThatStartsLater() throws InterruptedException {
-        FakePlatform platform = new FakePlatform(Optional.of(Snapshots.of(7)));
         FleetObservations own = FleetObservations.create();
         FleetObservations other = FleetObservations.create();
-        FleetState told = start(first, platform, own);
-        start(second, platform, other);
-        Conditions.await(() -> told.fleetPosition().size() == 2);
-        RequestIdentity poison = new RequestIdentity("10.0.0.1", "GET", "host", "/a", new byte[0]);
+        FleetState told = startTwo(own, other);
         for (int server = 1; server <= 3; server++) {
-            told.reports().requestCrashed(own.crashes().recordCrash(poison, server, System.nanoTime()));
+            told.reports().requestCrashed(own.crashes().recordCrash(REQUEST, server, System.nanoTime()));
         }
-        Conditions.await(() -> isQuarantined(other, poison));
+        Conditions.await(() -> isQuarantined(other));
         FleetObservations later = FleetObservations.create();
-        start(FreePorts.address(), platform, later);
-        Conditions.await(() -> isQuarantined(later, poison));
+        start(FreePorts.address(), new FakePlatform(Optional.of(Snapshots.of(7))), later);
+        Conditions.await(() -> isQuarantined(later));
     }
 
     @Test
     void requestThatSucceededIsClearedOnTheOtherVm() throws InterruptedException {
-        FakePlatform platform = new FakePlatform(Optional.of(Snapshots.of(7)));
         FleetObservations own = FleetObservations.create();
         FleetObservations other = FleetObservations.create();
-        FleetState told = start(first, platform, own);
+        FleetState told = startTwo(own, other);
+        told.reports().requestCrashed(own.crashes().recordCrash(REQUEST, 1, System.nanoTime()));
+        Conditions.await(() -> other.crashes().isOnRecord(REQUEST));
+        told.reports().requestCleared(REQUEST.fingerprints());
+        Conditions.await(() -> !other.crashes().isOnRecord(REQUEST));
+    }
+
+    /** Starts two VMs that know each other, and returns the first. */
+    private FleetState startTwo(FleetObservations own, FleetObservations other) {
+        FakePlatform platform = new FakePlatform(Optional.of(Snapshots.of(7)));
+        FleetState started = start(first, platform, own);
         start(second, platform, other);
-        Conditions.await(() -> told.fleetPosition().size() == 2);
-        RequestIdentity innocent = new RequestIdentity("10.0.0.1", "GET", "host", "/a", new byte[0]);
-        told.reports().requestCrashed(own.crashes().recordCrash(innocent, 1, System.nanoTime()));
-        Conditions.await(() -> other.crashes().isOnRecord(innocent));
-        told.reports().requestCleared(innocent.fingerprints());
-        Conditions.await(() -> !other.crashes().isOnRecord(innocent));
+        Conditions.await(() -> started.fleetPosition().size() == 2);
+        return started;
     }
 
-    private static boolean isQuarantined(FleetObservations observations, RequestIdentity request) {
-        return observations.crashes().quarantine(request, System.nanoTime()).isPresent();
+    private static boolean isQuarantined(FleetObservations observations) {
+        return observations.crashes().quarantine(REQUEST, System.nanoTime()).isPresent();
     }
 
     @Test
--- a/coppershelf/src/test/java/io/coppershelf/mesh/MembershipTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MembershipTest.java
@@ -65,6 +65,24 @@
         assertThat(ranks.size()).isAtLeast(20);
     }
 
+    /** Guards against requests that are handed to a VM which reaches no server either, or is about to stop. */
+    @Test
+    void requestsAreHandedToVmsThatReachServersAndStay() {
+        Membership vm = new Membership(address(1), "here", 1, List.of(), new Random(1), 0);
+        vm.merge(
+                List.of(
+                        new MemberEntry(address(2), "here", 1, 1, false, 7202, false),
+                        new MemberEntry(address(3), "here", 1, 1, false, 7203, true),
+                        new MemberEntry(address(4), "here", 1, 1, true, 7204, false),
+                        new MemberEntry(address(5), "there", 1, 1, false, 7205, false),
+                        new MemberEntry(address(6), "there", 1, 1, false, 0, false)),
+                0);
+        assertThat(vm.relays(0)).containsExactly(address(7202), address(7205));
+        vm.merge(List.of(new MemberEntry(address(3), "here", 1, 2, false, 7203, false)), 0);
+        assertThat(vm.relays(0)).containsExactly(address(7202), address(7203));
+        assertThat(vm.relays(Membership.DOWN_NANOS + SECOND)).isEmpty();
+    }
+
     @Test
     void vmWhoseClockWasSetBackBeforeItsRestartIsAccepted() {
         InetSocketAddress restarted = address(2);
