--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -69,7 +69,7 @@
         context.metrics().requestStarted();
         long now = System.nanoTime();
         if (!isCutOff()) {
-            // The VM that sends a relayed request counts it.
+            // Else the VM that the request is handed to counts it.
             context.budget().countRequest(service, now);
         }
         execute(plan.start(now));
