--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -81,7 +81,7 @@
             long crashedMillis) {}
 
     /**
-     * A request that a server has run to a good end, so that it did not crash the servers on which it was in flight.
+     * A request that a server has completed, so that it did not crash the servers on which it was in flight.
      *
      * @param fingerprints the fingerprints of the request
      */
--- a/coppershelf/src/main/java/io/coppershelf/poison/CrashRecords.java
+++ b/coppershelf/src/main/java/io/coppershelf/poison/CrashRecords.java
@@ -93,7 +93,7 @@
                 .toList();
     }
 
-    /** Removes the records of a request that a server has run to a good end; returns whether there was one. */
+    /** Removes the records of a request that a server has completed; returns whether there was one. */
     public synchronized boolean clear(List<RequestFingerprint> fingerprints) {
         boolean isKnown = records.keySet().removeAll(fingerprints);
         updateHeads();
--- a/coppershelf/src/main/java/io/coppershelf/proxy/FleetReports.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/FleetReports.java
@@ -30,7 +30,7 @@
      */
     void requestCrashed(List<CrashRecord> records);
 
-    /** Records that a server has run a request to a good end under which another one crashed. */
+    /** Records that a server has completed a request under which another one crashed. */
     void requestCleared(List<RequestFingerprint> fingerprints);
 
     /** Records the outcome of a request at a server. */
--- a/coppershelf/src/test/java/io/coppershelf/proxy/PoisonRequestTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/PoisonRequestTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Scenario: a request crashes each server that begins to run it, and its caller sends it again and again. */
+/** Scenario: a request crashes the process of every server that executes it, and its caller keeps retrying it. */
 @Timeout(30)
 final class PoisonRequestTest {
     private static final int SERVERS = 12;
