Identify tenants by API keys

Requests with an API key were forwarded with the key and without a tenant, and a withdrawn key stayed valid, so deployments with tenants could not be served at all. A configuration with tenants now switches on the identification of callers: the key is removed, the tenant is set on every attempt and relay, an unknown key is answered with 401, or with 503 while a newer configuration is known to be published.

--- a/coppershelf/src/main/java/io/coppershelf/catalog/FleetConfiguration.java
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/FleetConfiguration.java
@@ -1,6 +1,7 @@
 package io.coppershelf.catalog;
 
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * The configuration that the operator has published.
@@ -10,11 +11,22 @@
  * @param routes all routes
  * @param connectionCaps the largest number of connections that a server of each service accepts from the whole fleet
  * @param limits the limits for callers
+ * @param tenants the tenants, empty if callers need no API keys
  */
 public record FleetConfiguration(
-        long version, RouteTable routes, Map<String, Integer> connectionCaps, CallerLimits limits) {
+        long version,
+        RouteTable routes,
+        Map<String, Integer> connectionCaps,
+        CallerLimits limits,
+        Optional<TenantTable> tenants) {
     /** Copies the map. */
     public FleetConfiguration {
         connectionCaps = Map.copyOf(connectionCaps);
     }
+
+    /** Creates a configuration without tenants. */
+    public FleetConfiguration(
+            long version, RouteTable routes, Map<String, Integer> connectionCaps, CallerLimits limits) {
+        this(version, routes, connectionCaps, limits, Optional.empty());
+    }
 }
--- a/coppershelf/src/main/java/io/coppershelf/catalog/Route.java
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/Route.java
@@ -15,6 +15,7 @@
  * @param rank the urgency, 0 is the most urgent
  * @param maxServers the largest number of servers that a request may be sent to
  * @param weightedServices the services that share the requests, at least one
+ * @param isPublic whether its requests need no API key where a configuration has tenants
  */
 public record Route(
         String name,
@@ -25,9 +26,29 @@
         Duration objective,
         int rank,
         int maxServers,
-        List<WeightedService> weightedServices) {
+        List<WeightedService> weightedServices,
+        boolean isPublic) {
     /** Copies the list. */
     public Route {
         weightedServices = List.copyOf(weightedServices);
     }
+
+    /** Creates a route that is not public. */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            RequestKind kind,
+            Duration timeout,
+            Duration objective,
+            int rank,
+            int maxServers,
+            List<WeightedService> weightedServices) {
+        this(name, host, pathPrefix, kind, timeout, objective, rank, maxServers, weightedServices, false);
+    }
+
+    /** Returns this route as a public one. */
+    public Route asPublic() {
+        return new Route(name, host, pathPrefix, kind, timeout, objective, rank, maxServers, weightedServices, true);
+    }
 }
--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -74,8 +74,15 @@
         settings.relayAddress().ifPresent(relay -> membership.acceptRelays(relay.getPort()));
         PrometheusRegistry registry = new PrometheusRegistry();
         CatalogReader reader = new MeteredCatalogReader(readers.apply(control), registry);
-        FleetState state =
-                new FleetState(control, reader, observations, membership, random, new MeshMetrics(registry), log);
+        FleetState state = new FleetState(
+                control,
+                reader,
+                observations,
+                membership,
+                random,
+                settings.features().hasTenants(),
+                new MeshMetrics(registry),
+                log);
         FleetRetryBudget budget =
                 new FleetRetryBudget(settings.retryRatio(), settings.retriesPerWindow(), settings.retryWindow());
         TrafficServer traffic = new TrafficServer(
--- a/coppershelf/src/main/java/io/coppershelf/gateway/GatewaySettings.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/GatewaySettings.java
@@ -23,6 +23,7 @@
  * @param retriesPerWindow additional retries that the fleet may send in each window
  * @param retryWindow the length of the window
  * @param stopLimit the longest time from the stop request to the exit of the process
+ * @param features what the deployment asks for beyond the features that all have
  */
 public record GatewaySettings(
         String vm,
@@ -38,7 +39,8 @@
         double retryRatio,
         double retriesPerWindow,
         Duration retryWindow,
-        Duration stopLimit) {
+        Duration stopLimit,
+        GatewayFeatures features) {
     /** Copies the seeds. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ConfigurationFetcher.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ConfigurationFetcher.java
@@ -25,7 +25,7 @@
     private final EventLog log;
     private boolean isFetching;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
-    private long announcedVersion;
+    private volatile long announcedVersion;
 
     /** Runs delayed actions on the same thread. */
     interface Timer {
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -63,13 +63,19 @@
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile boolean isStopping;
 
-    /** Creates a state with an empty catalog. */
+    /**
+     * Creates a state with an empty catalog.
+     *
+     * @param needsTenants whether a snapshot whose configuration has no tenants is incomplete; builds without tenants
+     *     leave them out
+     */
     public FleetState(
             EventLoop loop,
             CatalogReader reader,
             FleetObservations observations,
             Membership membership,
             Random random,
+            boolean needsTenants,
             MeshMetrics metrics,
             EventLog log) {
         this.loop = loop;
@@ -85,7 +91,7 @@
         CrashReporting crashes =
                 new CrashReporting(messenger, observations.crashes(), () -> membership.randomLive(now()), random, log);
         reporting = new ServerReporting(loop, messenger, observations, crashes, membership.dataCentre(), changeLog);
-        snapshots = new SnapshotClient(loop, () -> membership.randomLive(now()));
+        snapshots = new CompleteSnapshots(new SnapshotClient(loop, () -> membership.randomLive(now())), needsTenants);
         configurationFetcher = new ConfigurationFetcher(
                 reader,
                 snapshots,
@@ -107,6 +113,11 @@
         return catalog;
     }
 
+    @Override
+    public boolean isConfigurationCurrent() {
+        return configurationFetcher.newestAnnounced() <= configurationVersion();
+    }
+
     @Override
     public FleetPosition fleetPosition() {
         return exchange.position();
--- a/coppershelf/src/main/java/io/coppershelf/mesh/SnapshotCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/SnapshotCodec.java
@@ -62,6 +62,12 @@
         MessageFields.writeList(packer, snapshot.content().changed(), MeshCodec::writeServer);
         MessageFields.writeOptional(packer, snapshot.content().configuration(), SnapshotCodec::writeConfiguration);
         MessageFields.writeList(packer, snapshot.leaving(), MessagePacker::packString);
+        if (snapshot.content()
+                .configuration()
+                .flatMap(FleetConfiguration::tenants)
+                .isPresent()) {
+            TenantFields.write(packer, snapshot.content().configuration().get());
+        }
     }
 
     private static Snapshot readSnapshot(MessageUnpacker unpacker) throws IOException {
@@ -71,6 +77,9 @@
         Optional<FleetConfiguration> configuration =
                 MessageFields.readOptional(unpacker, SnapshotCodec::readConfiguration);
         Set<String> leaving = Set.copyOf(MessageFields.readList(unpacker, MessageUnpacker::unpackString));
+        if (configuration.isPresent() && unpacker.hasNext()) {
+            configuration = Optional.of(TenantFields.read(unpacker, configuration.get()));
+        }
         return new Snapshot(
                 announced,
                 new CatalogChange(CatalogRevision.NONE, revision, configuration, servers, Set.of()),
--- a/coppershelf/src/main/java/io/coppershelf/mesh/StateChangeLog.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/StateChangeLog.java
@@ -2,13 +2,16 @@
 
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.Catalog;
+import io.coppershelf.catalog.FleetConfiguration;
 import io.coppershelf.catalog.ServerList;
+import io.coppershelf.catalog.TenantTable;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
 import io.coppershelf.health.estimate.HealthEstimate;
 import io.coppershelf.health.estimate.Observation;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** Writes a log line for each change of the control state. */
@@ -88,12 +91,25 @@
         if (after.configuration().equals(before.configuration())) {
             return;
         }
-        after.configuration()
-                .ifPresent(configuration -> log.important(
-                        "configuration-in-force",
-                        Fields.of(
-                                "version", configuration.version(),
-                                "routes", configuration.routes().size(),
-                                "source", source)));
+        after.configuration().ifPresent(configuration -> {
+            Map<String, Object> fields = Fields.of(
+                    "version", configuration.version(),
+                    "routes", configuration.routes().size(),
+                    "source", source);
+            configuration.tenants().ifPresent(tenants -> addTenants(fields, before, tenants));
+            log.important("configuration-in-force", fields);
+        });
+    }
+
+    private static void addTenants(Map<String, Object> fields, Catalog before, TenantTable tenants) {
+        TenantTable former =
+                before.configuration().flatMap(FleetConfiguration::tenants).orElseGet(() -> TenantTable.of(Map.of()));
+        TenantTable.Changes changes = tenants.changesSince(former);
+        fields.put("tenants", tenants.all().size());
+        fields.put("tenantsAdded", changes.tenantsAdded());
+        fields.put("tenantsRemoved", changes.tenantsRemoved());
+        fields.put("keysAdded", changes.keysAdded());
+        fields.put("keysWithdrawn", changes.keysWithdrawn());
+        fields.put("ambiguousKeys", tenants.ambiguousKeys());
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -1,7 +1,6 @@
 package io.coppershelf.proxy;
 
 import io.coppershelf.catalog.CallerLimits;
-import io.coppershelf.catalog.Route;
 import io.coppershelf.outcome.ErrorKind;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -206,14 +205,14 @@
         CallerRequest request = queued.remove();
         channel.config().setAutoRead(!isReadingStopped);
         CallerSink sink = sink(request);
-        Optional<Route> route = routes.resolve(request, sink);
-        if (route.isEmpty()) {
+        Optional<ResolvedRequest> resolved = routes.resolve(request, sink);
+        if (resolved.isEmpty()) {
             return;
         }
         RequestExecution next = new RequestExecution(
                 context,
-                route.get(),
-                context.roundRobin().next(route.get()),
+                resolved.get(),
+                context.roundRobin().next(resolved.get().route()),
                 request,
                 routes.callerTimeout(request),
                 sink);
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ControlState.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ControlState.java
@@ -12,6 +12,9 @@
     /** Returns the newest catalog. */
     Catalog catalog();
 
+    /** Returns whether no configuration is known to be published that is newer than the one in force. */
+    boolean isConfigurationCurrent();
+
     /** Returns the position of this VM among the live VMs. */
     FleetPosition fleetPosition();
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/HeaderNames.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/HeaderNames.java
@@ -11,6 +11,8 @@
  * @param leaving set by a server that leaves and wants no new requests
  * @param limit the requests a second that a server accepts from all VMs together
  * @param load running requests, queued requests and slots of the server
+ * @param apiKey the API key of a caller; never sent to a server
+ * @param tenant the name of the tenant that holds the key, for the server
  */
 public record HeaderNames(
         String requestId,
@@ -20,4 +22,6 @@
         String notRun,
         String leaving,
         String limit,
-        String load) {}
+        String load,
+        String apiKey,
+        String tenant) {}
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -40,13 +40,13 @@
 
     RequestExecution(
             TrafficContext context,
-            Route route,
+            ResolvedRequest resolved,
             String service,
             CallerRequest request,
             Optional<Duration> callerTimeout,
             AnswerSink sink) {
         this.context = context;
-        this.route = route;
+        route = resolved.route();
         this.service = service;
         this.request = request;
         this.sink = sink;
@@ -56,8 +56,8 @@
         deadlineNanos = request.readAtNanos() + Math.min(route.timeout().toNanos(), remainingNanos);
         latency = context.latency(service, route.kind().name());
         crashWatch = new CrashWatch(context, request, requestId);
-        requestLog = new RequestLog(context, route, service, request, requestId, deadlineNanos);
-        writer = new RequestWriter(context, route, service, request, deadlineNanos, this::reasonNotToSend);
+        requestLog = new RequestLog(context, resolved, service, request, requestId, deadlineNanos);
+        writer = new RequestWriter(context, resolved, service, request, deadlineNanos, this::reasonNotToSend);
         int maxServers = request.relay()
                 .map(relay -> Math.min(relay.servers(), route.maxServers()))
                 .orElse(route.maxServers());
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestLog.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestLog.java
@@ -1,7 +1,6 @@
 package io.coppershelf.proxy;
 
 import io.coppershelf.catalog.Catalog;
-import io.coppershelf.catalog.Route;
 import io.coppershelf.dispatch.ChoiceInputs;
 import io.coppershelf.eventlog.Fields;
 import java.util.Map;
@@ -10,7 +9,7 @@
 /** Writes the log lines and metrics of one request. */
 final class RequestLog {
     private final TrafficContext context;
-    private final Route route;
+    private final ResolvedRequest resolved;
     private final String service;
     private final CallerRequest request;
     private final String requestId;
@@ -18,13 +17,13 @@
 
     RequestLog(
             TrafficContext context,
-            Route route,
+            ResolvedRequest resolved,
             String service,
             CallerRequest request,
             String requestId,
             long deadlineNanos) {
         this.context = context;
-        this.route = route;
+        this.resolved = resolved;
         this.service = service;
         this.request = request;
         this.requestId = requestId;
@@ -39,7 +38,7 @@
         context.metrics().recordRequest(outcome, tookNanos);
         Map<String, Object> fields = Fields.of(
                 "request", requestId,
-                "route", route.name(),
+                "route", resolved.route().name(),
                 "service", service,
                 "outcome", outcome,
                 "reason", reason,
@@ -47,6 +46,7 @@
                 "leftMs", TimeUnit.NANOSECONDS.toMillis(deadlineNanos - now),
                 "servers", serversReached,
                 "attempts", attempts);
+        resolved.tenant().ifPresent(tenant -> fields.put("tenant", tenant.name()));
         request.relay().ifPresent(relay -> fields.put("relayedBy", relay.vm()));
         if (isRoutine) {
             context.log().routine("request-ended", fields);
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestWriter.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestWriter.java
@@ -1,7 +1,6 @@
 package io.coppershelf.proxy;
 
 import io.coppershelf.catalog.BackendServer;
-import io.coppershelf.catalog.Route;
 import io.coppershelf.http.AnswerListener;
 import io.coppershelf.http.HttpConnection;
 import io.netty.buffer.Unpooled;
@@ -30,7 +29,7 @@
     private static final int MAX_RELAY_CONNECTIONS = 100;
 
     private final TrafficContext context;
-    private final Route route;
+    private final ResolvedRequest resolved;
     private final String service;
     private final CallerRequest request;
     private final long deadlineNanos;
@@ -43,13 +42,13 @@
      */
     RequestWriter(
             TrafficContext context,
-            Route route,
+            ResolvedRequest resolved,
             String service,
             CallerRequest request,
             long deadlineNanos,
             Supplier<Optional<String>> reasonNotToSend) {
         this.context = context;
-        this.route = route;
+        this.resolved = resolved;
         this.service = service;
         this.request = request;
         this.deadlineNanos = deadlineNanos;
@@ -58,7 +57,7 @@
 
     /** Sends the request to a server. */
     void send(ServerAttempt attempt) {
-        long maxIdle = !route.kind().isRepeatable() ? ONCE_IDLE_NANOS : Long.MAX_VALUE;
+        long maxIdle = !resolved.route().kind().isRepeatable() ? ONCE_IDLE_NANOS : Long.MAX_VALUE;
         context.pool()
                 .acquire(
                         attempt.server(),
@@ -146,6 +145,8 @@
 
     private HttpHeaders headers() {
         HttpHeaders headers = EndToEndHeaders.copy(request.headers());
+        // Set after the copy, which drops headers that the caller lists in its Connection header.
+        resolved.tenant().ifPresent(tenant -> headers.set(context.names().tenant(), tenant.name()));
         headers.set(context.names().deadlineMillis(), Long.toString(remainingMillis()));
         if (request.body().length > 0 || EndToEndHeaders.declaresBody(request.headers())) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, Integer.toString(request.body().length));
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RouteResolver.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RouteResolver.java
@@ -8,20 +8,22 @@
 import java.time.Duration;
 import java.util.Optional;
 
-/** Finds the route of a request, or answers the request with an error if there is none. */
+/** Finds the route and the tenant of a request, or answers the request with an error if there is none. */
 final class RouteResolver {
     private static final Duration STARTING_RETRY_AFTER = Duration.ofMillis(500);
     /** Largest number of digits of a valid deadline; the conversion of more may overflow. */
     private static final int MAX_DEADLINE_DIGITS = 12;
 
     private final TrafficContext context;
+    private final CallerIdentity identity;
 
     RouteResolver(TrafficContext context) {
         this.context = context;
+        identity = new CallerIdentity(context.names());
     }
 
-    /** Returns the route; if it is empty, the request has been answered. */
-    Optional<Route> resolve(CallerRequest request, AnswerSink sink) {
+    /** Returns the route and the tenant; if the result is empty, the request has been answered. */
+    Optional<ResolvedRequest> resolve(CallerRequest request, AnswerSink sink) {
         Optional<FleetConfiguration> configuration = context.state().catalog().configuration();
         if (configuration.isEmpty()) {
             refuse(request, sink, ErrorKind.STARTING, "no configuration is known yet", 0);
@@ -40,8 +42,29 @@
                     ErrorKind.UNKNOWN_ROUTE,
                     "no route for this host and path",
                     configuration.get().version());
+            return Optional.empty();
+        }
+        return identify(request, route.get(), configuration.get(), sink);
+    }
+
+    private Optional<ResolvedRequest> identify(
+            CallerRequest request, Route route, FleetConfiguration configuration, AnswerSink sink) {
+        if (configuration.tenants().isEmpty()) {
+            return Optional.of(new ResolvedRequest(route, Optional.empty()));
+        }
+        CallerIdentity.Result result =
+                identity.identify(request, route, configuration.tenants().get());
+        if (result instanceof CallerIdentity.Result.Accepted accepted) {
+            return Optional.of(new ResolvedRequest(route, accepted.tenant()));
+        }
+        String reason = ((CallerIdentity.Result.Rejected) result).reason();
+        if (context.state().isConfigurationCurrent()) {
+            refuse(request, sink, ErrorKind.UNKNOWN_API_KEY, reason, configuration.version());
+        } else {
+            // The key may be one of the newer configuration.
+            refuse(request, sink, ErrorKind.STARTING, "a newer configuration is being read", configuration.version());
         }
-        return route;
+        return Optional.empty();
     }
 
     /** Returns the time for which the caller waits, if the request states it. */
--- a/coppershelf/src/test/java/io/coppershelf/gateway/CutOffVmTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/gateway/CutOffVmTest.java
@@ -92,11 +92,22 @@
                 Optional.of(FreePorts.address()),
                 List.of(meshAddress),
                 Optional.empty(),
-                new HeaderNames("Request-Id", "Deadline", "Target", "Signature", "Not-Run", "Leaving", "Limit", "Load"),
+                new HeaderNames(
+                        "Request-Id",
+                        "Deadline",
+                        "Target",
+                        "Signature",
+                        "Not-Run",
+                        "Leaving",
+                        "Limit",
+                        "Load",
+                        "Api-Key",
+                        "Customer"),
                 0.2,
                 58,
                 Duration.ofSeconds(10),
-                Duration.ofSeconds(6));
+                Duration.ofSeconds(6),
+                GatewayFeatures.NONE);
         Gateway unused = Gateway.start(settings, loop -> new FixedReader(serverPorts), EventLog.NONE);
         Conditions.await(() -> isReady(readiness));
         return callers;
--- a/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/FleetStateTest.java
@@ -227,6 +227,7 @@
                 observations,
                 membership,
                 random,
+                false,
                 new MeshMetrics(new PrometheusRegistry()),
                 EventLog.NONE);
         state.start(address);
--- a/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
@@ -16,6 +16,7 @@
 final class FakeControlState implements ControlState, FleetReports {
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile boolean isStopping;
+    private volatile boolean isConfigurationCurrent = true;
     private volatile List<InetSocketAddress> relays = List.of();
     private final List<Boolean> reachable = new CopyOnWriteArrayList<>();
     private final List<String> leaving = new CopyOnWriteArrayList<>();
@@ -49,6 +50,16 @@
         return catalog;
     }
 
+    /** Sets that a newer configuration is known to be published. */
+    void announceNewerConfiguration() {
+        isConfigurationCurrent = false;
+    }
+
+    @Override
+    public boolean isConfigurationCurrent() {
+        return isConfigurationCurrent;
+    }
+
     @Override
     public FleetPosition fleetPosition() {
         return new FleetPosition(0, 1);
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -36,8 +36,17 @@
 
 /** A traffic path on the loopback interface with routes of each kind to one service. */
 final class ProxyFixture implements AutoCloseable {
-    static final HeaderNames NAMES =
-            new HeaderNames("Request-Id", "Deadline", "Target", "Signature", "Not-Run", "Leaving", "Limit", "Load");
+    static final HeaderNames NAMES = new HeaderNames(
+            "Request-Id",
+            "Deadline",
+            "Target",
+            "Signature",
+            "Not-Run",
+            "Leaving",
+            "Limit",
+            "Load",
+            "Api-Key",
+            "Customer");
 
     private static final int MAX_HEAD_BYTES = 2000;
     private static final int MAX_BODY_BYTES = 5000;
