Tell a VM that has just started what the others know of the servers

A VM now requests the estimates and loads of all servers from a random VM, once it knows the servers, until one has replied, for five seconds at most.

--- a/coppershelf/src/main/java/io/coppershelf/health/estimate/HealthEstimates.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/estimate/HealthEstimates.java
@@ -31,6 +31,11 @@
         return known == null ? HealthEstimate.initial(nowNanos) : known;
     }
 
+    /** Returns whether there is an observation of a server. */
+    public boolean isObserved(String serverKey) {
+        return estimates.containsKey(serverKey);
+    }
+
     /** Removes all servers but the given ones. */
     public void retain(Set<String> serverKeys) {
         estimates.keySet().retainAll(serverKeys);
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -54,6 +54,7 @@
     private final ServersInForce servers = new ServersInForce();
     private final SnapshotSource snapshots;
     private final ConfigurationFetcher configurationFetcher;
+    private final SummaryFetcher summaryFetcher;
     private boolean isReading;
     private boolean isFetchingSnapshot;
     private boolean isPlatformLost;
@@ -91,6 +92,7 @@
         CrashReporting crashes =
                 new CrashReporting(messenger, observations.crashes(), () -> membership.randomLive(now()), random, log);
         reporting = new ServerReporting(loop, messenger, observations, crashes, membership.dataCentre(), changeLog);
+        summaryFetcher = new SummaryFetcher(() -> membership.randomLive(now()), messenger::send);
         snapshots = new CompleteSnapshots(new SnapshotClient(loop, () -> membership.randomLive(now())), needsTenants);
         configurationFetcher = new ConfigurationFetcher(
                 reader,
@@ -179,6 +181,7 @@
             observations.load().expire(now);
             exchange.gossip(now);
             reporting.gossip(now);
+            summaryFetcher.requestIfMissing(catalog.servers(), membership.ageNanos(now));
         }
         if (!isReading && schedule.isDue(messenger.rank(now), membership.ageNanos(now), now)) {
             read();
@@ -209,7 +212,10 @@
             applyLeaving(leaving.serverKey(), sender.toString());
         } else if (message instanceof MeshMessage.CatalogUpdate update) {
             metrics.recordUpdate(applyUpdate(update));
+        } else if (message instanceof MeshMessage.SummaryRequest) {
+            reporting.sendSummaries(sender, catalog.servers());
         } else {
+            summaryFetcher.received(sender, message);
             reporting.apply(sender, message);
         }
     }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -25,6 +25,7 @@
     private static final int SERVER_LIMIT = 6;
     private static final int REQUEST_CRASHES = 7;
     private static final int REQUEST_CLEARED = 8;
+    private static final int SUMMARY_REQUEST = 11;
 
     private MeshCodec() {}
 
@@ -81,6 +82,7 @@
                     new MeshMessage.RequestCrashes(MessageFields.readList(unpacker, MeshCodec::readCrash));
                 case REQUEST_CLEARED ->
                     new MeshMessage.RequestCleared(MessageFields.readList(unpacker, MeshCodec::readFingerprint));
+                case SUMMARY_REQUEST -> new MeshMessage.SummaryRequest();
                 default -> throw new IOException("unknown message type " + type);
             };
         } catch (RuntimeException e) {
@@ -116,6 +118,8 @@
         } else if (message instanceof MeshMessage.RequestCleared cleared) {
             packer.packInt(REQUEST_CLEARED);
             MessageFields.writeList(packer, cleared.fingerprints(), MeshCodec::writeFingerprint);
+        } else if (message instanceof MeshMessage.SummaryRequest) {
+            packer.packInt(SUMMARY_REQUEST);
         } else if (message instanceof MeshMessage.CatalogUpdate update) {
             packer.packInt(CATALOG_UPDATE);
             writeRevision(packer, update.since());
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -38,7 +38,8 @@
             implements MeshMessage {}
 
     /**
-     * What the VMs of the sender's data centre know of its servers.
+     * What the VMs of the sender's data centre know of its servers, or what the sender knows of all servers if the
+     * receiver has requested it.
      *
      * @param serverCodes the hashes that identify the servers
      * @param inFlight the number of requests that all VMs have in flight at each of them
@@ -47,6 +48,9 @@
     record ServerSummary(List<Long> serverCodes, List<Integer> inFlight, List<Integer> unhealthyPerMille)
             implements MeshMessage {}
 
+    /** A request for what the receiver knows of the servers, as summaries; from a VM that has just started. */
+    record SummaryRequest() implements MeshMessage {}
+
     /**
      * An announcement of a server that it leaves, which the sender has received.
      *
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
@@ -112,6 +112,12 @@
         }
     }
 
+    /** Sends to another VM all that this one knows of the servers. */
+    void sendSummaries(InetSocketAddress receiver, ServerList servers) {
+        ServerSummaries.complete(servers, observations, this::inFlight, System.nanoTime())
+                .forEach(summary -> messenger.send(receiver, summary));
+    }
+
     /** Sends to another VM what it may have missed. */
     void gossip(long nowNanos) {
         crashes.gossip(nowNanos);
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ServerSummaries.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ServerSummaries.java
@@ -45,23 +45,61 @@
             return Optional.empty();
         }
         lastNanos = nowNanos;
+        List<Entry> entries = entries(
+                servers.all().stream()
+                        .filter(server ->
+                                server.isAccepting() && server.dataCentre().equals(dataCentre))
+                        .toList(),
+                observations,
+                ownInFlight,
+                nowNanos);
+        return Optional.of(summary(entries.subList(0, Math.min(MAX_SERVERS, entries.size()))));
+    }
+
+    /**
+     * Returns all that is known of the servers of all data centres, in as many messages as needed, for a VM that has
+     * just started. Servers without observations are left out, so that a VM that knows nothing itself replaces no
+     * estimate.
+     */
+    static List<MeshMessage.ServerSummary> complete(
+            ServerList servers,
+            FleetObservations observations,
+            ToIntBiFunction<BackendServer, Long> ownInFlight,
+            long nowNanos) {
+        List<BackendServer> observed = servers.all().stream()
+                .filter(server -> observations.estimates().isObserved(server.key()))
+                .toList();
+        List<Entry> entries = entries(observed, observations, ownInFlight, nowNanos);
+        List<MeshMessage.ServerSummary> summaries = new ArrayList<>();
+        for (int first = 0; first < entries.size(); first += MAX_SERVERS) {
+            summaries.add(summary(entries.subList(first, Math.min(first + MAX_SERVERS, entries.size()))));
+        }
+        return summaries;
+    }
+
+    private static List<Entry> entries(
+            List<BackendServer> servers,
+            FleetObservations observations,
+            ToIntBiFunction<BackendServer, Long> ownInFlight,
+            long nowNanos) {
         List<Entry> entries = new ArrayList<>();
-        for (BackendServer server : servers.all()) {
-            if (server.isAccepting() && server.dataCentre().equals(dataCentre)) {
-                long code = FleetLoad.codeOf(server.key());
-                HealthEstimate estimate = observations.estimates().estimate(server.key(), nowNanos);
-                int inFlight = observations.load().inFlightOfOthers(code) + ownInFlight.applyAsInt(server, code);
-                entries.add(new Entry(code, inFlight, estimate.unhealthyProbabilityAt(nowNanos)));
-            }
+        for (BackendServer server : servers) {
+            long code = FleetLoad.codeOf(server.key());
+            HealthEstimate estimate = observations.estimates().estimate(server.key(), nowNanos);
+            int inFlight = observations.load().inFlightOfOthers(code) + ownInFlight.applyAsInt(server, code);
+            entries.add(new Entry(code, inFlight, estimate.unhealthyProbabilityAt(nowNanos)));
         }
         entries.sort(Comparator.comparingDouble(entry -> -entry.unhealthyProbability - entry.inFlight / PER_MILLE));
-        List<Entry> first = entries.subList(0, Math.min(MAX_SERVERS, entries.size()));
-        return Optional.of(new MeshMessage.ServerSummary(
-                first.stream().map(Entry::code).toList(),
-                first.stream().map(Entry::inFlight).toList(),
-                first.stream()
+        return entries;
+    }
+
+    private static MeshMessage.ServerSummary summary(List<Entry> entries) {
+        return new MeshMessage.ServerSummary(
+                entries.stream().map(Entry::code).toList(),
+                entries.stream().map(Entry::inFlight).toList(),
+                entries.stream()
                         .map(entry -> (int) Math.round(entry.unhealthyProbability * PER_MILLE))
-                        .toList()));
+                        .toList());
     }
 
     private record Entry(long code, int inFlight, double unhealthyProbability) {}
