Close gaps in the check of API keys, and ignore messages of later builds

A configuration that was found to be old during the start now accepts no key (503), and the VM is not ready; after a restore, the first configuration needs the announcement of another VM, for at most 2.5 s.

Message types and observations that only later builds know are counted (coppershelf_mesh_messages_ignored_total) or left out instead of causing a log line each.

--- a/coppershelf/src/main/java/io/coppershelf/catalog/CatalogRevision.java
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/CatalogRevision.java
@@ -13,6 +13,9 @@
     /** The revision before the first reading. */
     public static final CatalogRevision NONE = new CatalogRevision(0, 0);
 
+    /** The era of a store that was never restored. */
+    private static final long FIRST_ERA = 1;
+
     private static final Comparator<CatalogRevision> ORDER =
             Comparator.comparingLong(CatalogRevision::era).thenComparingLong(CatalogRevision::number);
 
@@ -31,6 +34,11 @@
         return era == other.era;
     }
 
+    /** Returns whether the store was restored from an older copy, and may lack what other VMs have read before. */
+    public boolean isOfRestoredStore() {
+        return era > FIRST_ERA;
+    }
+
     @Override
     public String toString() {
         return era + "." + number;
--- a/coppershelf/src/main/java/io/coppershelf/catalog/TenantTable.java
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/TenantTable.java
@@ -12,6 +12,9 @@
  * Immutable.
  */
 public final class TenantTable {
+    /** The table without tenants. */
+    public static final TenantTable EMPTY = new TenantTable(Map.of(), Map.of(), 0);
+
     private final Map<String, Tenant> byName;
     private final Map<String, Tenant> byKey;
     private final int ambiguousKeys;
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ConfigurationFetcher.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ConfigurationFetcher.java
@@ -16,6 +16,12 @@
     static final long FIRST_PAUSE_MILLIS = 150;
     /** Longest pause, well under the time within which a change has to be in force. */
     static final long MAX_PAUSE_MILLIS = 1200;
+    /**
+     * Time after the first configuration in which an announced one is required: the first may come from a VM or a store
+     * that is behind, and keys that it withdraws may be refused everywhere else. Equals the time within which a change
+     * has to be in force.
+     */
+    static final long START_MILLIS = 2500;
 
     private final CatalogReader reader;
     private final SnapshotSource peers;
@@ -26,6 +32,8 @@
     private boolean isFetching;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private volatile long announcedVersion;
+    private volatile long requiredVersion;
+    private boolean isStarting = true;
 
     /** Runs delayed actions on the same thread. */
     interface Timer {
@@ -59,9 +67,37 @@
         return Math.max(announcedVersion, inForce.getAsLong());
     }
 
+    /** Returns whether no newer configuration was announced during the start of this VM than the one in force. */
+    boolean isSufficient() {
+        return inForce.getAsLong() >= requiredVersion;
+    }
+
+    /** Makes no configuration sufficient before another VM has announced one, or the start ends. */
+    void requireAnnouncement() {
+        if (announcedVersion == 0) {
+            requiredVersion = Long.MAX_VALUE;
+        }
+    }
+
+    /** Records that the first configuration is in force. */
+    void started() {
+        timer.schedule(START_MILLIS, this::startEnded);
+    }
+
+    private void startEnded() {
+        isStarting = false;
+        requiredVersion = Math.min(requiredVersion, announcedVersion);
+    }
+
+    /** Records that a configuration was published, without fetching it. */
+    void record(long version) {
+        announcedVersion = Math.max(announcedVersion, version);
+        requiredVersion = isStarting ? announcedVersion : requiredVersion;
+    }
+
     /** Records that a configuration was published, and fetches it unless it is in force. */
     void announced(long version) {
-        announcedVersion = Math.max(announcedVersion, version);
+        record(version);
         if (isFetching || inForce.getAsLong() >= announcedVersion) {
             return;
         }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -34,16 +34,12 @@
      * current.
      */
     private static final Duration CHANGE_WAIT = Duration.ofMillis(100);
-    /**
-     * Longest age of the catalog at which the platform counts as available; beyond it, several readings of all VMs have
-     * failed.
-     */
-    private static final long OUTAGE_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
 
     private final EventLoop loop;
     private final CatalogReader reader;
     private final FleetObservations observations;
     private final Membership membership;
+    private final boolean needsTenants;
     private final PlatformReadSchedule schedule;
     private final MeshMetrics metrics;
     private final EventLog log;
@@ -52,11 +48,9 @@
     private final MembershipExchange exchange;
     private final ServerReporting reporting;
     private final ServersInForce servers = new ServersInForce();
-    private final SnapshotSource snapshots;
+    private final SnapshotSource startSnapshots;
     private final ConfigurationFetcher configurationFetcher;
     private boolean isReading;
-    private boolean isFetchingSnapshot;
-    private boolean isPlatformLost;
     private boolean needsCompleteReading = true;
     private long ticks;
     private long lastTickNanos;
@@ -82,6 +76,7 @@
         this.reader = reader;
         this.observations = observations;
         this.membership = membership;
+        this.needsTenants = needsTenants;
         schedule = new PlatformReadSchedule(random);
         this.metrics = metrics;
         this.log = log;
@@ -91,7 +86,9 @@
         CrashReporting crashes =
                 new CrashReporting(messenger, observations.crashes(), () -> membership.randomLive(now()), random, log);
         reporting = new ServerReporting(loop, messenger, observations, crashes, membership.dataCentre(), changeLog);
-        snapshots = new CompleteSnapshots(new SnapshotClient(loop, () -> membership.randomLive(now())), needsTenants);
+        SnapshotSource snapshots =
+                new CompleteSnapshots(new SnapshotClient(loop, () -> membership.randomLive(now())), needsTenants);
+        startSnapshots = new SingleFetch(snapshots);
         configurationFetcher = new ConfigurationFetcher(
                 reader,
                 snapshots,
@@ -118,6 +115,11 @@
         return configurationFetcher.newestAnnounced() <= configurationVersion();
     }
 
+    @Override
+    public boolean isConfigurationSufficient() {
+        return configurationFetcher.isSufficient();
+    }
+
     @Override
     public FleetPosition fleetPosition() {
         return exchange.position();
@@ -130,7 +132,7 @@
 
     /** Returns whether callers can be served. */
     public boolean isReady() {
-        return !isStopping && catalog.isServing();
+        return !isStopping && catalog.isServing() && (!needsTenants || isConfigurationSufficient());
     }
 
     /** Marks this VM as stopping and announces that to the peers. */
@@ -169,7 +171,9 @@
             metrics.recordControlDelay(now - lastTickNanos - TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS));
         }
         lastTickNanos = now;
-        detectOutage(now);
+        if (schedule.isOverdue(now)) {
+            servers.recordOutage(now);
+        }
         if (servers.expire(now)) {
             publishServers("expiry");
         }
@@ -185,13 +189,6 @@
         }
     }
 
-    /** Records an outage of the platform while no reading of any VM has confirmed the catalog for some time. */
-    private void detectOutage(long nowNanos) {
-        if (schedule.ageNanos(nowNanos).orElse(0) > OUTAGE_AGE_NANOS) {
-            servers.recordOutage(nowNanos);
-        }
-    }
-
     private void read() {
         isReading = true;
         if (needsCompleteReading) {
@@ -203,7 +200,9 @@
 
     private void handle(InetSocketAddress sender, MeshMessage message) {
         membership.recordContact(sender, now());
-        if (message instanceof MeshMessage.Members members) {
+        if (message instanceof MeshMessage.Unknown) {
+            metrics.recordIgnored();
+        } else if (message instanceof MeshMessage.Members members) {
             exchange.apply(sender, members, now());
         } else if (message instanceof MeshMessage.ServerLeaving leaving) {
             applyLeaving(leaving.serverKey(), sender.toString());
@@ -253,6 +252,9 @@
         Catalog before = catalog;
         catalog = before.with(configuration);
         changeLog.configurationChanged(before, catalog, source);
+        if (before.configuration().isEmpty()) {
+            configurationFetcher.started();
+        }
     }
 
     /** Takes a server out of use that announced that it leaves; returns whether that was unknown. */
@@ -267,22 +269,16 @@
 
     /** Fetches a snapshot from another VM after a complete reading of the platform has failed. */
     private void fetchSnapshot() {
-        if (isFetchingSnapshot) {
-            return;
-        }
-        isFetchingSnapshot = true;
-        snapshots.fetch(this::applySnapshot, reason -> {
-            isFetchingSnapshot = false;
-            log.routine("peer-not-read", Fields.of("reason", reason));
-        });
+        startSnapshots.fetch(this::applySnapshot, reason -> log.routine("peer-not-read", Fields.of("reason", reason)));
     }
 
     private void applySnapshot(Snapshot snapshot) {
-        isFetchingSnapshot = false;
         servers.recordLeaving(snapshot.leaving(), now());
         CatalogRevision known = servers.registered().revision();
         if (needsCompleteReading && !known.isAfter(snapshot.content().revision())) {
             needsCompleteReading = false;
+            // Recorded first, so that no key is accepted that a newer configuration withdraws.
+            configurationFetcher.record(snapshot.announcedConfiguration());
             publish(snapshot.content(), "peer");
             configurationFetcher.announced(snapshot.announcedConfiguration());
         }
@@ -314,9 +310,9 @@
         public void readSucceeded(CatalogChange change) {
             isReading = false;
             needsCompleteReading = false;
-            if (isPlatformLost) {
-                isPlatformLost = false;
-                log.important("platform-regained", Fields.of("revision", change.revision()));
+            changeLog.platformRead(change.revision());
+            if (catalog.configuration().isEmpty() && change.revision().isOfRestoredStore()) {
+                configurationFetcher.requireAnnouncement();
             }
             ServerList before = servers.registered();
             if (change.follows(before.revision()) && !before.revision().isAfter(change.revision())) {
@@ -334,10 +330,7 @@
                 log.important("platform-history-lost", Fields.of("reason", reason));
                 return;
             }
-            if (!isPlatformLost) {
-                isPlatformLost = true;
-                log.important("platform-lost", Fields.of("reason", reason));
-            }
+            changeLog.platformLost(reason);
             schedule.readFailed(now());
             if (needsCompleteReading) {
                 fetchSnapshot();
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -9,6 +9,7 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
@@ -39,7 +40,7 @@
     }
 
     /**
-     * Reads a message.
+     * Reads a message. Fields behind the known ones are ignored, so that later builds can add some.
      *
      * @throws IOException if the bytes are not a message of this version
      */
@@ -71,7 +72,9 @@
                     new MeshMessage.ServerReport(
                             MessageFields.readList(unpacker, MessageUnpacker::unpackLong),
                             MessageFields.readList(unpacker, MessageUnpacker::unpackInt),
-                            MessageFields.readList(unpacker, MeshCodec::readObservation));
+                            MessageFields.readList(unpacker, MeshCodec::readObservation).stream()
+                                    .flatMap(Optional::stream)
+                                    .toList());
                 case SERVER_LEAVING -> new MeshMessage.ServerLeaving(unpacker.unpackString());
                 case SERVER_LIMIT ->
                     new MeshMessage.ServerLimit(
@@ -81,7 +84,7 @@
                     new MeshMessage.RequestCrashes(MessageFields.readList(unpacker, MeshCodec::readCrash));
                 case REQUEST_CLEARED ->
                     new MeshMessage.RequestCleared(MessageFields.readList(unpacker, MeshCodec::readFingerprint));
-                default -> throw new IOException("unknown message type " + type);
+                default -> new MeshMessage.Unknown(type);
             };
         } catch (RuntimeException e) {
             throw new IOException("not a message of the mesh", e);
@@ -133,8 +136,12 @@
         packer.packInt(observed.observation().code());
     }
 
-    private static MeshMessage.ServerObservation readObservation(MessageUnpacker unpacker) throws IOException {
-        return new MeshMessage.ServerObservation(unpacker.unpackString(), observation(unpacker.unpackInt()));
+    /** Returns an observation, empty if only later builds know its kind. */
+    private static Optional<MeshMessage.ServerObservation> readObservation(MessageUnpacker unpacker)
+            throws IOException {
+        String serverKey = unpacker.unpackString();
+        return Observation.ofCode(unpacker.unpackInt())
+                .map(observation -> new MeshMessage.ServerObservation(serverKey, observation));
     }
 
     private static void writeCrash(MessagePacker packer, MeshMessage.RequestCrash crash) throws IOException {
@@ -225,8 +232,4 @@
         byte[] ip = MessageFields.readBytes(unpacker);
         return new InetSocketAddress(InetAddress.getByAddress(ip), unpacker.unpackInt());
     }
-
-    private static Observation observation(int code) throws IOException {
-        return Observation.ofCode(code).orElseThrow(() -> new IOException("unknown observation " + code));
-    }
 }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -12,6 +12,9 @@
 
 /** A message between VMs of the fleet. */
 public sealed interface MeshMessage {
+    /** A message of a type that only later builds know. */
+    record Unknown(int type) implements MeshMessage {}
+
     /**
      * The members of the fleet that the sender knows.
      *
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMetrics.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMetrics.java
@@ -22,6 +22,7 @@
     }
 
     private final Counter updates;
+    private final Counter ignored;
     private final Histogram controlDelay;
 
     /** Registers the metrics. */
@@ -31,6 +32,10 @@
                 .help("Updates of the catalog received from other VMs by outcome")
                 .labelNames("outcome")
                 .register(registry);
+        ignored = Counter.builder()
+                .name("coppershelf_mesh_messages_ignored_total")
+                .help("Messages of other VMs of a type that only later builds know")
+                .register(registry);
         controlDelay = Histogram.builder()
                 .name("coppershelf_control_delay_seconds")
                 .help("Time by which a periodic action of the control thread started late")
@@ -43,6 +48,10 @@
         updates.labelValues(outcome.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    void recordIgnored() {
+        ignored.inc();
+    }
+
     void recordControlDelay(long nanos) {
         controlDelay.observe(Math.max(0, nanos) / NANOS_PER_SECOND);
     }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/PlatformReadSchedule.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/PlatformReadSchedule.java
@@ -27,6 +27,12 @@
     /** Mean pause after a first failed reading; it doubles with each further one. */
     private static final long FIRST_PAUSE_NANOS = 200 * MILLI;
 
+    /**
+     * Longest age of the catalog at which the platform counts as available; beyond it, several readings of all VMs have
+     * failed.
+     */
+    private static final long OUTAGE_AGE_NANOS = 2000 * MILLI;
+
     private static final long MAX_PAUSE_NANOS = 1500 * MILLI;
     private static final int MAX_DOUBLINGS = 3;
 
@@ -60,6 +66,11 @@
         notBeforeNanos = nowNanos + pause / 2 + (long) (random.nextDouble() * pause);
     }
 
+    /** Returns whether no reading of any VM has confirmed the catalog for so long that the platform has failed. */
+    public boolean isOverdue(long nowNanos) {
+        return ageNanos(nowNanos).orElse(0) > OUTAGE_AGE_NANOS;
+    }
+
     /**
      * Returns whether a reading is due.
      *
--- a/coppershelf/src/main/java/io/coppershelf/mesh/SnapshotClient.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/SnapshotClient.java
@@ -25,8 +25,11 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
     /** Longest wait for the complete snapshot, from the start of the connection. */
     private static final long REPLY_TIMEOUT_MILLIS = 1500;
-    /** The largest snapshot; 140,000 servers and 39,000 routes of about 90 bytes each take 16 MB. */
-    private static final int MAX_SNAPSHOT_BYTES = 20 * 1024 * 1024;
+    /**
+     * The largest snapshot; 140,000 servers and 39,000 routes of about 90 bytes each take 16 MB, and 490,000 tenants of
+     * about 90 bytes each 44 MB.
+     */
+    private static final int MAX_SNAPSHOT_BYTES = 64 * 1024 * 1024;
 
     private final EventLoop loop;
     private final Supplier<Optional<InetSocketAddress>> nextPeer;
--- a/coppershelf/src/main/java/io/coppershelf/mesh/StateChangeLog.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/StateChangeLog.java
@@ -2,6 +2,7 @@
 
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.Catalog;
+import io.coppershelf.catalog.CatalogRevision;
 import io.coppershelf.catalog.FleetConfiguration;
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.catalog.TenantTable;
@@ -20,6 +21,7 @@
     static final String OWN_REQUEST = "own request";
 
     private final EventLog log;
+    private boolean isPlatformLost;
 
     StateChangeLog(EventLog log) {
         this.log = log;
@@ -86,6 +88,22 @@
         }
     }
 
+    /** Logs that the platform can't be read any more, with the reason of the first failure. */
+    void platformLost(String reason) {
+        if (!isPlatformLost) {
+            isPlatformLost = true;
+            log.important("platform-lost", Fields.of("reason", reason));
+        }
+    }
+
+    /** Logs that the platform can be read again, if it could not. */
+    void platformRead(CatalogRevision revision) {
+        if (isPlatformLost) {
+            isPlatformLost = false;
+            log.important("platform-regained", Fields.of("revision", revision));
+        }
+    }
+
     /** Logs which configuration is in force, if that has changed. */
     void configurationChanged(Catalog before, Catalog after, String source) {
         if (after.configuration().equals(before.configuration())) {
@@ -103,7 +121,7 @@
 
     private static void addTenants(Map<String, Object> fields, Catalog before, TenantTable tenants) {
         TenantTable former =
-                before.configuration().flatMap(FleetConfiguration::tenants).orElseGet(() -> TenantTable.of(Map.of()));
+                before.configuration().flatMap(FleetConfiguration::tenants).orElse(TenantTable.EMPTY);
         TenantTable.Changes changes = tenants.changesSince(former);
         fields.put("tenants", tenants.all().size());
         fields.put("tenantsAdded", changes.tenantsAdded());
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerIdentity.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerIdentity.java
@@ -9,7 +9,7 @@
 
 /**
  * Identifies the tenant of a request by its API key, and removes the key and the tenant that the caller states. A
- * request of another VM states the tenant that this VM has identified.
+ * request of another VM states the tenant that that VM has identified.
  */
 final class CallerIdentity {
     private final HeaderNames names;
@@ -34,7 +34,8 @@
         Optional<String> statedTenant = Optional.ofNullable(headers.get(names.tenant()));
         headers.remove(names.apiKey());
         headers.remove(names.tenant());
-        if (request.relay().isPresent()) {
+        // A VM removes the key of a request that it has identified; without a tenant, the stated one is the caller's.
+        if (request.relay().isPresent() && keys.isEmpty()) {
             return new Result.Accepted(statedTenant.map(name -> relayedTenant(name, tenants)));
         }
         Optional<Tenant> tenant = keys.size() == 1 ? tenants.byKey(keys.get(0)) : Optional.empty();
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ControlState.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ControlState.java
@@ -15,6 +15,12 @@
     /** Returns whether no configuration is known to be published that is newer than the one in force. */
     boolean isConfigurationCurrent();
 
+    /**
+     * Returns whether API keys may be looked up in the configuration in force; false if it was taken over when this VM
+     * started and was then found to be old, so that it may hold keys that are refused everywhere else.
+     */
+    boolean isConfigurationSufficient();
+
     /** Returns the position of this VM among the live VMs. */
     FleetPosition fleetPosition();
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RouteResolver.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RouteResolver.java
@@ -2,6 +2,7 @@
 
 import io.coppershelf.catalog.FleetConfiguration;
 import io.coppershelf.catalog.Route;
+import io.coppershelf.catalog.TenantTable;
 import io.coppershelf.eventlog.Fields;
 import io.coppershelf.outcome.ErrorKind;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -24,6 +25,8 @@
 
     /** Returns the route and the tenant; if the result is empty, the request has been answered. */
     Optional<ResolvedRequest> resolve(CallerRequest request, AnswerSink sink) {
+        // Read before the configuration: a key is not unknown if its configuration comes into force in between.
+        boolean isCurrent = context.state().isConfigurationCurrent();
         Optional<FleetConfiguration> configuration = context.state().catalog().configuration();
         if (configuration.isEmpty()) {
             refuse(request, sink, ErrorKind.STARTING, "no configuration is known yet", 0);
@@ -44,21 +47,22 @@
                     configuration.get().version());
             return Optional.empty();
         }
-        return identify(request, route.get(), configuration.get(), sink);
+        return identify(request, route.get(), configuration.get(), isCurrent, sink);
     }
 
     private Optional<ResolvedRequest> identify(
-            CallerRequest request, Route route, FleetConfiguration configuration, AnswerSink sink) {
+            CallerRequest request, Route route, FleetConfiguration configuration, boolean isCurrent, AnswerSink sink) {
         if (configuration.tenants().isEmpty()) {
             return Optional.of(new ResolvedRequest(route, Optional.empty()));
         }
-        CallerIdentity.Result result =
-                identity.identify(request, route, configuration.tenants().get());
+        boolean isSufficient = context.state().isConfigurationSufficient();
+        TenantTable tenants = isSufficient ? configuration.tenants().get() : TenantTable.EMPTY;
+        CallerIdentity.Result result = identity.identify(request, route, tenants);
         if (result instanceof CallerIdentity.Result.Accepted accepted) {
             return Optional.of(new ResolvedRequest(route, accepted.tenant()));
         }
         String reason = ((CallerIdentity.Result.Rejected) result).reason();
-        if (context.state().isConfigurationCurrent()) {
+        if (isCurrent && isSufficient) {
             refuse(request, sink, ErrorKind.UNKNOWN_API_KEY, reason, configuration.version());
         } else {
             // The key may be one of the newer configuration.
--- a/coppershelf/src/test/java/io/coppershelf/mesh/ConfigurationFetcherTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/ConfigurationFetcherTest.java
@@ -87,6 +87,60 @@
         assertThat(fetcher.newestAnnounced()).isEqualTo(6);
     }
 
+    /** Guards against a VM that starts from an old copy and accepts keys that all others refuse. */
+    @Test
+    void configurationThatWasFoundToBeOldDuringTheStartIsNotSufficient() {
+        ConfigurationFetcher fetcher = fetcher();
+        inForce = 5;
+        assertThat(fetcher.isSufficient()).isTrue();
+        fetcher.announced(7);
+        assertThat(fetcher.isSufficient()).isFalse();
+        inForce = 6;
+        fetcher.started();
+        delayed.removeLast().run();
+        assertThat(fetcher.isSufficient()).isFalse();
+        inForce = 7;
+        assertThat(fetcher.isSufficient()).isTrue();
+    }
+
+    /** Guards against a running VM that refuses all callers for as long as it fetches a new configuration. */
+    @Test
+    void configurationOfARunningVmStaysSufficientWhileANewerOneIsFetched() {
+        ConfigurationFetcher fetcher = fetcher();
+        inForce = 5;
+        fetcher.started();
+        delayed.remove().run();
+        fetcher.announced(7);
+        assertThat(fetcher.isSufficient()).isTrue();
+        assertThat(fetcher.newestAnnounced()).isEqualTo(7);
+    }
+
+    /** Guards against keys of an old snapshot that are accepted until its newer configuration is fetched. */
+    @Test
+    void versionThatASnapshotStatesIsRequiredBeforeItsConfigurationIsInForce() {
+        ConfigurationFetcher fetcher = fetcher();
+        fetcher.record(7);
+        inForce = 5;
+        assertThat(fetcher.isSufficient()).isFalse();
+        assertThat(platform.calls).isEqualTo(0);
+    }
+
+    /** Guards against a VM that starts from a store that was restored, and a VM without others that never serves. */
+    @Test
+    void configurationOfARestoredStoreIsSufficientOnceAnotherVmAnnouncesNoneThatIsNewerOrTheStartEnds() {
+        ConfigurationFetcher fetcher = fetcher();
+        fetcher.requireAnnouncement();
+        inForce = 5;
+        assertThat(fetcher.isSufficient()).isFalse();
+        fetcher.announced(5);
+        assertThat(fetcher.isSufficient()).isTrue();
+        ConfigurationFetcher alone = fetcher();
+        alone.requireAnnouncement();
+        alone.started();
+        delayed.remove().run();
+        assertThat(alone.isSufficient()).isTrue();
+    }
+
     private ConfigurationFetcher fetcher() {
         return new ConfigurationFetcher(
                 platform,
--- a/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
@@ -57,6 +57,40 @@
         }
     }
 
+    /** Guards against an error for each message of a later build. */
+    @Test
+    void messageOfAnUnknownTypeIsReadWhateverItHolds() throws IOException {
+        byte[] bytes = {4, 100, (byte) 0x91, (byte) 0xa1, 'x', (byte) 0xc1};
+        assertThat(MeshCodec.decode(bytes)).isEqualTo(new MeshMessage.Unknown(100));
+    }
+
+    /** Guards against messages that are lost because a later build added a field. */
+    @Test
+    void fieldsBehindTheKnownOnesAreIgnored() throws IOException {
+        for (MeshMessage message : List.of(
+                new MeshMessage.Members(List.of(), true),
+                new MeshMessage.ServerLeaving("i-1@5"),
+                new MeshMessage.ServerLimit("i-1@5", Optional.empty()),
+                new MeshMessage.RequestCleared(List.of()))) {
+            byte[] known = MeshCodec.encode(message);
+            byte[] longer = Arrays.copyOf(known, known.length + 2);
+            longer[known.length] = (byte) 0x91;
+            assertThat(MeshCodec.decode(longer)).isEqualTo(message);
+        }
+    }
+
+    /** Guards against a report that is lost because of one observation that only a later build knows. */
+    @Test
+    void observationOfAnUnknownKindIsLeftOut() throws IOException {
+        MeshMessage.ServerObservation known = new MeshMessage.ServerObservation("i-2@5", Observation.STALL);
+        byte[] bytes = MeshCodec.encode(new MeshMessage.ServerReport(
+                List.of(), List.of(), List.of(new MeshMessage.ServerObservation("i-1@5", Observation.STALL), known)));
+        int kindOfTheFirst = 4 + 1 + "i-1@5".length() + 1;
+        bytes[kindOfTheFirst] = 99;
+        assertThat(MeshCodec.decode(bytes))
+                .isEqualTo(new MeshMessage.ServerReport(List.of(), List.of(), List.of(known)));
+    }
+
     @Test
     void otherVersionsAreRefused() {
         byte[] bytes = MeshCodec.encode(new MeshMessage.ServerLeaving("i-1@5"));
--- a/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
@@ -17,6 +17,7 @@
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile boolean isStopping;
     private volatile boolean isConfigurationCurrent = true;
+    private volatile boolean isConfigurationSufficient = true;
     private volatile List<InetSocketAddress> relays = List.of();
     private final List<Boolean> reachable = new CopyOnWriteArrayList<>();
     private final List<String> leaving = new CopyOnWriteArrayList<>();
@@ -60,6 +61,17 @@
         return isConfigurationCurrent;
     }
 
+    /** Sets that the configuration was found to be old when this VM started. */
+    void requireNewerConfiguration() {
+        isConfigurationCurrent = false;
+        isConfigurationSufficient = false;
+    }
+
+    @Override
+    public boolean isConfigurationSufficient() {
+        return isConfigurationSufficient;
+    }
+
     @Override
     public FleetPosition fleetPosition() {
         return new FleetPosition(0, 1);
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -8,12 +8,12 @@
 import io.coppershelf.catalog.Route;
 import io.coppershelf.catalog.RouteTable;
 import io.coppershelf.catalog.ServerList;
+import io.coppershelf.catalog.TenantTable;
 import io.coppershelf.catalog.WeightedService;
 import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.FleetRetryBudget;
 import io.coppershelf.dispatch.IdleServerTracker;
 import io.coppershelf.dispatch.ServerLimits;
-import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.health.estimate.HealthEstimates;
 import io.coppershelf.poison.CrashRecords;
 import io.coppershelf.testing.Catalogs;
@@ -32,6 +32,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 /** A traffic path on the loopback interface with routes of each kind to one service. */
@@ -51,9 +52,12 @@
     private static final int MAX_HEAD_BYTES = 2000;
     private static final int MAX_BODY_BYTES = 5000;
     private static final int MAX_CONNECTIONS = 400;
+    /** Room for an API key of 4 KB. */
+    private static final int MAX_TENANT_HEAD_BYTES = 8000;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final FakeControlState state = new FakeControlState();
+    private final List<String> logLines = new CopyOnWriteArrayList<>();
     private final InetSocketAddress address;
     private final InetSocketAddress relayAddress;
     private final TrafficServer server;
@@ -72,7 +76,7 @@
                 new CrashRecords(),
                 "here",
                 new PrometheusRegistry(),
-                EventLog.NONE);
+                (importance, event, fields) -> logLines.add(event + " " + fields));
         relayAddress = FreePorts.address();
         server.listen(address, Optional.of(relayAddress));
     }
@@ -84,19 +88,33 @@
 
     /** Routes all requests to servers that listen on the ports of the loopback interface. */
     void servePorts(int... ports) {
-        List<BackendServer> list = new ArrayList<>();
-        for (int port : ports) {
-            list.add(new BackendServer(
-                    "i-" + list.size(), 1, "ledger", new InetSocketAddress("127.0.0.1", port), "here", 6, true, 0));
-        }
         RouteTable routes = RouteTable.of(List.of(
                 route("/once/", RequestKind.ONCE),
                 route("/patient/", RequestKind.ONCE, Duration.ofMinutes(1)),
                 route("/safe/", RequestKind.REPEATABLE),
                 route("/large/", RequestKind.LARGE_ANSWER)));
+        serve(routes, MAX_HEAD_BYTES, Optional.empty(), ports);
+    }
+
+    /** Routes requests with the keys of the tenants to the servers, and those of one route without a key. */
+    void serveTenants(TenantTable tenants, int... ports) {
+        RouteTable routes = RouteTable.of(List.of(
+                route("/once/", RequestKind.ONCE),
+                route("/safe/", RequestKind.REPEATABLE),
+                route("/public/", RequestKind.ONCE).asPublic()));
+        serve(routes, MAX_TENANT_HEAD_BYTES, Optional.of(tenants), ports);
+    }
+
+    private void serve(RouteTable routes, int headBytes, Optional<TenantTable> tenants, int... ports) {
+        List<BackendServer> list = new ArrayList<>();
+        for (int port : ports) {
+            list.add(new BackendServer(
+                    "i-" + list.size(), 1, "ledger", new InetSocketAddress("127.0.0.1", port), "here", 6, true, 0));
+        }
         CallerLimits limits =
-                new CallerLimits(MAX_HEAD_BYTES, MAX_BODY_BYTES, Duration.ofMillis(500), Duration.ofMillis(700));
-        FleetConfiguration configuration = new FleetConfiguration(1, routes, Map.of("ledger", MAX_CONNECTIONS), limits);
+                new CallerLimits(headBytes, MAX_BODY_BYTES, Duration.ofMillis(500), Duration.ofMillis(700));
+        FleetConfiguration configuration =
+                new FleetConfiguration(1, routes, Map.of("ledger", MAX_CONNECTIONS), limits, tenants);
         state.use(new Catalog(Optional.of(configuration), ServerList.of(Catalogs.revision(1), list)));
     }
 
@@ -105,6 +123,11 @@
         return relayAddress;
     }
 
+    /** Returns the log lines with their fields. */
+    List<String> logLines() {
+        return logLines;
+    }
+
     TrafficServer server() {
         return server;
     }
--- a/coppershelf/src/test/java/io/coppershelf/testing/FakeBackendServer.java
+++ b/coppershelf/src/test/java/io/coppershelf/testing/FakeBackendServer.java
@@ -123,9 +123,10 @@
         Map<String, String> headers = new TreeMap<>();
         for (String header = readLine(in); !header.isEmpty(); header = readLine(in)) {
             int colon = header.indexOf(':');
-            headers.put(
+            headers.merge(
                     header.substring(0, colon).toLowerCase(Locale.ROOT),
-                    header.substring(colon + 1).strip());
+                    header.substring(colon + 1).strip(),
+                    (first, second) -> first + ", " + second);
         }
         byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
         return new Received(connection, line[0], line[1], headers, new String(body, StandardCharsets.UTF_8));
@@ -156,7 +157,7 @@
         byte[] answer(Received request) throws IOException;
     }
 
-    /** A request as the server read it; header names are in lower case. */
+    /** A request as the server read it; header names are in lower case, and the values of equal names are joined. */
     public record Received(int connection, String method, String target, Map<String, String> headers, String body) {
         public String attemptId() {
             return headers.getOrDefault("coppershelf-try-id", "none");
