Reduce the processor time of a start

- Datagrams are received into one buffer instead of a new direct buffer for each receive call.
- Records whose methods the JVM would generate on the start path have their own hashCode or are compared by version.

--- a/coppershelf/src/main/java/io/coppershelf/catalog/CatalogRevision.java
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/CatalogRevision.java
@@ -31,6 +31,17 @@
         return era == other.era;
     }
 
+    /** Spares the start the classes that the JVM generates for the method of a record, as no archive holds them. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof CatalogRevision that && era == that.era && number == that.number;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(era) + Long.hashCode(number);
+    }
+
     @Override
     public String toString() {
         return era + "." + number;
--- a/coppershelf/src/main/java/io/coppershelf/catalog/Tenant.java
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/Tenant.java
@@ -11,6 +11,12 @@
  * @param cap the usage cap, empty if it has none
  */
 public record Tenant(String name, Optional<Integer> rank, Optional<UsageCap> cap) {
+    /** Spares the start the classes that the JVM generates for the method of a record, as no archive holds them. */
+    @Override
+    public int hashCode() {
+        return name.hashCode();
+    }
+
     /** Returns the urgency of a request of this tenant on the route. */
     public int rankOn(Route route) {
         return rank.orElse(route.rank());
--- a/coppershelf/src/main/java/io/coppershelf/gateway/MeteredCatalogReader.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/MeteredCatalogReader.java
@@ -28,12 +28,14 @@
                 .name("coppershelf_platform_readings_total")
                 .help("Readings of the platform by kind and outcome")
                 .labelNames("kind", "outcome")
+                .withoutExemplars()
                 .register(registry);
         duration = Histogram.builder()
                 .name("coppershelf_platform_reading_duration_seconds")
                 .help("Time from the begin of a reading of the platform to its end")
                 .classicOnly()
                 .classicUpperBounds(0.01, 0.05, 0.15, 0.5, 1, 2)
+                .withoutExemplars()
                 .register(registry);
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/gateway/PageServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/PageServer.java
@@ -37,7 +37,7 @@
     static ChannelFuture listen(EventLoop loop, InetSocketAddress address, String path, Supplier<Page> page) {
         return new ServerBootstrap()
                 .group(loop, loop)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(NioServerSocketChannel::new)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                 .childHandler(new ChannelInitializer<Channel>() {
--- a/coppershelf/src/main/java/io/coppershelf/health/estimate/Observation.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/estimate/Observation.java
@@ -1,6 +1,6 @@
 package io.coppershelf.health.estimate;
 
-import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -19,6 +19,8 @@
     /** The server refused the request before running it. */
     SHED(5, 0.40, 0.10);
 
+    private static final List<Observation> VALUES = List.of(values());
+
     private final int code;
     private final double probabilityIfUnhealthy;
     private final double probabilityIfHealthy;
@@ -36,9 +38,12 @@
 
     /** Returns the observation with the code, empty if there is none. */
     public static Optional<Observation> ofCode(int code) {
-        return Arrays.stream(values())
-                .filter(observation -> observation.code == code)
-                .findFirst();
+        for (Observation observation : VALUES) {
+            if (observation.code == code) {
+                return Optional.of(observation);
+            }
+        }
+        return Optional.empty();
     }
 
     /** Returns the probability of this outcome on an unhealthy server divided by that on a healthy one. */
--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnector.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnector.java
@@ -31,7 +31,7 @@
         this.memory = memory;
         bootstrap = new Bootstrap()
                 .group(group)
-                .channel(NioSocketChannel.class)
+                .channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMetrics.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMetrics.java
@@ -30,12 +30,14 @@
                 .name("coppershelf_catalog_updates_total")
                 .help("Updates of the catalog received from other VMs by outcome")
                 .labelNames("outcome")
+                .withoutExemplars()
                 .register(registry);
         controlDelay = Histogram.builder()
                 .name("coppershelf_control_delay_seconds")
                 .help("Time by which a periodic action of the control thread started late")
                 .classicOnly()
                 .classicUpperBounds(0.01, 0.05, 0.25, 1, 2.5)
+                .withoutExemplars()
                 .register(registry);
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshSocket.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshSocket.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -46,9 +45,9 @@
         MeshSocket socket = new MeshSocket(log);
         socket.channel = new Bootstrap()
                 .group(loop)
-                .channel(NioDatagramChannel.class)
+                .channelFactory(NioDatagramChannel::new)
                 .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new ReusedReceiveBuffer(MAX_DATAGRAM_BYTES))
                 .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .handler(new Receiver(receiver, log))
                 .bind(address)
--- a/coppershelf/src/main/java/io/coppershelf/mesh/SnapshotClient.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/SnapshotClient.java
@@ -51,7 +51,7 @@
         Exchange exchange = new Exchange(peer.get(), onRead, onFailure);
         new Bootstrap()
                 .group(loop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .handler(new ChannelInitializer<Channel>() {
--- a/coppershelf/src/main/java/io/coppershelf/mesh/SnapshotServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/SnapshotServer.java
@@ -50,7 +50,7 @@
     static void listen(EventLoop loop, InetSocketAddress address, Supplier<Optional<Snapshot>> inForce, EventLog log) {
         new ServerBootstrap()
                 .group(loop, loop)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(NioServerSocketChannel::new)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                 .childHandler(new SnapshotServer(inForce, log))
--- a/coppershelf/src/main/java/io/coppershelf/mesh/StateChangeLog.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/StateChangeLog.java
@@ -88,7 +88,8 @@
 
     /** Logs which configuration is in force, if that has changed. */
     void configurationChanged(Catalog before, Catalog after, String source) {
-        if (after.configuration().equals(before.configuration())) {
+        // A configuration in force is only replaced by a newer one.
+        if (version(after).equals(version(before))) {
             return;
         }
         after.configuration().ifPresent(configuration -> {
@@ -101,6 +102,10 @@
         });
     }
 
+    private static Optional<Long> version(Catalog catalog) {
+        return catalog.configuration().map(FleetConfiguration::version);
+    }
+
     private static void addTenants(Map<String, Object> fields, Catalog before, TenantTable tenants) {
         TenantTable former =
                 before.configuration().flatMap(FleetConfiguration::tenants).orElseGet(() -> TenantTable.of(Map.of()));
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficMetrics.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficMetrics.java
@@ -23,26 +23,31 @@
                 .name("coppershelf_requests_total")
                 .help("Requests of callers by outcome")
                 .labelNames("outcome")
+                .withoutExemplars()
                 .register(registry);
         attempts = Counter.builder()
                 .name("coppershelf_attempts_total")
                 .help("Requests sent to backend servers by outcome")
                 .labelNames("outcome")
+                .withoutExemplars()
                 .register(registry);
         relays = Counter.builder()
                 .name("coppershelf_relays_total")
                 .help("Requests handed to other VMs by outcome")
                 .labelNames("outcome")
+                .withoutExemplars()
                 .register(registry);
         crashes = Counter.builder()
                 .name("coppershelf_server_crashes_total")
                 .help("Crashes of backend servers while they ran a request of this VM, one for each such request")
+                .withoutExemplars()
                 .register(registry);
         duration = Histogram.builder()
                 .name("coppershelf_request_duration_seconds")
                 .help("Time from the end of a request's head to its answer")
                 .classicOnly()
                 .classicUpperBounds(0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8)
+                .withoutExemplars()
                 .register(registry);
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -145,7 +145,7 @@
     private Channel bind(InetSocketAddress address, boolean isForRelays) {
         ChannelFuture bound = new ServerBootstrap()
                 .group(context.loop(), context.loop())
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(NioServerSocketChannel::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
