--- a/models/usage-cap.pml
+++ b/models/usage-cap.pml
@@ -12,8 +12,8 @@
  *
  * A split separates the VMs into halves, with the granter in one and the successor in the other. Each half notices it at a time
  * of its own, at most SKEW ticks apart. A half issues tokens at min(1, 1.25 / 2) of the rate, and its bucket holds that part of
- * the burst. A granter that is down (crashed or paused) is succeeded by a VM that still knows nearly all VMs, and so issues at the
- * full rate. When a split ends or the granter is back, the successor learns that within the tick.
+ * the burst. A granter that is down (crashed or paused) is succeeded by a VM that still knows nearly all VMs, and so issues at
+ * the full rate. When a split ends or the granter is back, the successor learns that within the tick.
  *
  * A successor takes over TAKEOVER ticks after it has noticed that the granter is gone, with an empty bucket: it issues nothing
  * while it considers the granter live, nor while tokens that the other half issued at the full rate can still be sent. That takes
@@ -21,9 +21,9 @@
  * with RETURN_WAIT it issues nothing in the tick of its return.
  *
  * With RESERVE, a VM that considers the granter live issues 1.5 units a tick (3 requests a second; 0.05 x 16 + 2 are 2.8). With
- * NO_SLACK, the bound has no slack, as for a tenant whose rate is so large that 20 requests are nothing beside it: the factor of
- * 1.25 uses up the bound in a lasting split, so that nothing is left for tokens that are sent a tick after their grant. FACTOR_ONE
- * issues at 1 / 2 instead of 1.25 / 2 of the rate in a half.
+ * NO_SLACK, the bound has no slack, as for a tenant whose rate is so large that 20 requests are nothing beside it: the factor
+ * of 1.25 uses up the bound in a lasting split, so that nothing is left for tokens that are sent a tick after their grant.
+ * FACTOR_ONE issues at 1 / 2 instead of 1.25 / 2 of the rate in a half.
  *
  * Requests and replies that are lost only waste tokens.
  *
