Use what is known of the path to a server for all requests

A request tried four connections of 0.4 s each, to servers whose paths from its VM were down, and was refused after 1.6 s. Other VMs were asked only if a VM reached no server at all, and each request learned the state of the paths by itself.

A server whose connection failed now gets no request until a check in the background succeeds, requests that wait for a connection to it go on, and three failures in a service or data centre make the servers there doubtful that have not answered since. A VM without failed connections chooses as before.

PoisonRequestTest failed with 503, no-server: the servers that had crashed last were also those reached last, so the checks of a doubt went to them, and four failures of crashed servers counted as the VM's own paths being down. Such servers are now checked last and count once.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/AttemptAllocator.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/AttemptAllocator.java
@@ -30,6 +30,14 @@
     /** Returns whether this VM reaches no server, so that only other VMs can send the request to one. */
     boolean isCutOff();
 
+    /**
+     * Returns whether the servers of the service that are left are out of reach of this VM, so that another one should
+     * send the request.
+     *
+     * @param excluded the ids of servers that the request was already assigned to
+     */
+    boolean isOutOfReach(Set<String> excluded);
+
     /**
      * Returns a VM that can send the request to a server, empty if none is known or the request was itself received
      * from a VM.
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/FleetRetryBudget.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/FleetRetryBudget.java
@@ -38,6 +38,17 @@
         usage(service, nowNanos).requests[BUCKETS - 1]++;
     }
 
+    /** Reverts the count of a request that another VM serves and counts instead. */
+    public void uncountRequest(String service, long nowNanos) {
+        int[] requests = usage(service, nowNanos).requests;
+        for (int i = BUCKETS - 1; i >= 0; i--) {
+            if (requests[i] > 0) {
+                requests[i]--;
+                return;
+            }
+        }
+    }
+
     /**
      * Acquires one retry from the budget if any is left.
      *
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
@@ -160,6 +160,11 @@
         return next;
     }
 
+    /** Returns the largest number of servers that the request may be sent to. */
+    public int maxServers() {
+        return maxServers;
+    }
+
     /** Returns the number of servers that the request was sent to. */
     public int serversReached() {
         return attempts.stream()
@@ -214,8 +219,12 @@
         if (allocator.isCutOff()) {
             return relay(reached, nowNanos);
         }
-        if (connectionFailures() >= MAX_CONNECTION_FAILURES) {
-            return Optional.empty();
+        boolean hasFailedTooOften = connectionFailures() >= MAX_CONNECTION_FAILURES;
+        if (hasFailedTooOften || allocator.isOutOfReach(usedServers)) {
+            Optional<PlanStep> relay = relay(reached, nowNanos);
+            if (relay.isPresent() || hasFailedTooOften) {
+                return relay;
+            }
         }
         Optional<BackendServer> server = allocator.choose(usedServers, isLastAttempt(reached));
         if (server.isEmpty() || (reached > 0 && !allocator.tryAcquireRetry())) {
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -132,7 +132,8 @@
                 .toList();
     }
 
-    private long remainingWaitNanos(BackendServer server, long nowNanos) {
+    /** Returns the time until the server is likely to accept a request; 0 if it accepts one now. */
+    long remainingWaitNanos(BackendServer server, long nowNanos) {
         ServerStats stats = stats(server);
         stats.limit(limits.limit(stats.code()), position.get(), nowNanos);
         return stats.remainingWaitNanos(nowNanos);
@@ -148,11 +149,17 @@
         return limits.record(stats(server).code(), perSecond, nowNanos);
     }
 
-    private double estimatedLoad(BackendServer server, long nowNanos) {
+    /** Returns the estimated number of requests that the server has from all VMs. */
+    double estimatedLoad(BackendServer server, long nowNanos) {
         ServerStats stats = stats(server);
         return stats.estimatedLoad(fleetLoad.inFlightOfOthers(stats.code()), nowNanos);
     }
 
+    /** Returns the number of requests that other VMs have in flight at the server. */
+    int inFlightOfOthers(BackendServer server) {
+        return fleetLoad.inFlightOfOthers(stats(server).code());
+    }
+
     private Optional<BackendServer> best(
             List<BackendServer> servers, RequestKind kind, boolean isLastAttempt, Set<String> excluded, long nowNanos) {
         BackendServer best = null;
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerReachability.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerReachability.java
@@ -32,6 +32,10 @@
 
     private final Random random;
     private final Set<String> unreachable = new HashSet<>();
+    /** The servers whose last connection failed, of this doubt and of earlier ones. */
+    private final Set<String> failed = new HashSet<>();
+
+    private final Set<String> failedBeforeDoubt = new HashSet<>();
     private final Set<String> beingChecked = new HashSet<>();
     private final Map<String, Long> connectedNanos = new HashMap<>();
     private boolean isCutOff;
@@ -59,7 +63,13 @@
     public void connected(String serverId, long nowNanos) {
         beingChecked.remove(serverId);
         connectedNanos.put(serverId, nowNanos);
+        failed.remove(serverId);
+        if (isCutOff) {
+            // The failures were those of this VM's own paths.
+            failed.clear();
+        }
         unreachable.clear();
+        failedBeforeDoubt.clear();
         isCutOff = false;
         recordSignOfLife(nowNanos);
     }
@@ -71,8 +81,16 @@
      */
     public void connectFailed(String serverId, int knownServers) {
         beingChecked.remove(serverId);
-        unreachable.add(serverId);
-        isCutOff = isCutOff || unreachable.size() >= Math.min(CUT_OFF_SERVERS, knownServers);
+        boolean isNewFailure = failed.add(serverId);
+        if (unreachable.add(serverId) && !isNewFailure) {
+            failedBeforeDoubt.add(serverId);
+        }
+        isCutOff = isCutOff || unreachable.size() - failedBeforeDoubt.size() >= Math.min(CUT_OFF_SERVERS, knownServers);
+    }
+
+    /** Returns whether a connection is being opened to the server to settle a doubt or to find a path that is back. */
+    public boolean isChecking(String serverId) {
+        return beingChecked.contains(serverId);
     }
 
     /** Records that a request was sent. */
@@ -133,20 +151,22 @@
             return beingChecked.isEmpty() && nowNanos - checkedNanos >= RECHECK_NANOS ? 1 : 0;
         }
         if (isInDoubt()) {
-            return Math.max(0, CUT_OFF_SERVERS - unreachable.size() - beingChecked.size());
+            int counted = unreachable.size() - failedBeforeDoubt.size();
+            return Math.max(0, CUT_OFF_SERVERS - counted - beingChecked.size());
         }
         return inFlight > 0 && beingChecked.isEmpty() && nowNanos - quietSinceNanos >= SILENCE_NANOS ? 1 : 0;
     }
 
     /**
      * Returns the servers in the order in which they show best that this VM reaches servers: those of services with the
-     * fewest unreachable servers first, of these the last one to which there was a connection. While the VM is cut off,
-     * the order is random.
+     * fewest unreachable servers first, of these the last one to which there was a connection. Servers that failed
+     * before the doubt come last: they may have crashed, and another failure shows nothing of this VM's paths. While
+     * the VM is cut off, the order is random.
      */
     private List<BackendServer> inOrderOfChecks(Collection<BackendServer> servers, long nowNanos) {
-        connectedNanos
-                .keySet()
-                .retainAll(servers.stream().map(BackendServer::id).collect(Collectors.toSet()));
+        Set<String> ids = servers.stream().map(BackendServer::id).collect(Collectors.toSet());
+        connectedNanos.keySet().retainAll(ids);
+        failed.retainAll(ids);
         List<BackendServer> ordered = new ArrayList<>(servers);
         Collections.shuffle(ordered, random);
         if (isCutOff) {
@@ -156,8 +176,8 @@
         Map<String, Long> unreachableByService = servers.stream()
                 .filter(server -> unreachable.contains(server.id()))
                 .collect(Collectors.groupingBy(BackendServer::service, Collectors.counting()));
-        ordered.sort(Comparator.comparingLong(
-                        (BackendServer server) -> unreachableByService.getOrDefault(server.service(), 0L))
+        ordered.sort(Comparator.comparing((BackendServer server) -> failed.contains(server.id()))
+                .thenComparingLong((BackendServer server) -> unreachableByService.getOrDefault(server.service(), 0L))
                 .thenComparingLong(server -> nowNanos - connectedNanos.getOrDefault(server.id(), 0L)));
         return ordered;
     }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerSink.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerSink.java
@@ -13,6 +13,9 @@
 
 /** Composes the answer to one request of a caller, or of another VM that handed the request on. */
 final class CallerSink implements AnswerSink {
+    /** The header with the code of the error. */
+    static final String ERROR = "Coppershelf-Error";
+
     private static final double MILLIS_PER_SECOND = 1000;
 
     /** Writes an answer to the connection. */
@@ -49,7 +52,7 @@
     public void fail(ErrorKind kind, String reason, Optional<Duration> retryAfter) {
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.CONTENT_TYPE, "text/plain");
-        headers.set("Coppershelf-Error", kind.code());
+        headers.set(ERROR, kind.code());
         headers.set("Coppershelf-Outcome", kind.outcome().name().toLowerCase(Locale.ROOT));
         String id = request.headers().get(names.requestId());
         if (id != null) {
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/PathObserver.java
@@ -0,0 +1,68 @@
+package io.coppershelf.proxy;
+
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.dispatch.ServerChooser;
+import io.coppershelf.dispatch.ServerPaths;
+import io.coppershelf.dispatch.ServerReachability;
+import io.coppershelf.eventlog.EventLog;
+import io.coppershelf.eventlog.Fields;
+import java.util.Collection;
+import java.util.Map;
+
+/** Records the outcomes of new connections to servers. Runs on the traffic thread. */
+final class PathObserver implements ServerConnectionPool.Observer {
+    private final ServerReachability reachability;
+    private final ServerPaths paths;
+    private final ServerChooser chooser;
+    private final ControlState state;
+    private final EventLog log;
+
+    PathObserver(
+            ServerReachability reachability,
+            ServerPaths paths,
+            ServerChooser chooser,
+            ControlState state,
+            EventLog log) {
+        this.reachability = reachability;
+        this.paths = paths;
+        this.chooser = chooser;
+        this.state = state;
+        this.log = log;
+    }
+
+    @Override
+    public void connected(BackendServer server) {
+        long now = System.nanoTime();
+        reachability.connected(server.id(), now);
+        if (paths.connected(server, now)) {
+            chooser.stats(server).recordPathSuccess();
+            log.important("path-regained", fields(server));
+        }
+    }
+
+    @Override
+    public Collection<BackendServer> failed(BackendServer server) {
+        // A path that is known or suspected to be down shows nothing new of the paths to other servers, and its checks
+        // fail in a row although servers on other paths are reached.
+        if (paths.isClear(server) || reachability.isChecking(server.id())) {
+            reachability.connectFailed(
+                    server.id(), state.catalog().servers().all().size());
+        }
+        boolean isNew = !paths.isUnreachable(server);
+        Collection<BackendServer> doubtful = paths.connectFailed(server, this::acceptingServers, System.nanoTime());
+        if (isNew) {
+            log.important("path-lost", fields(server));
+        }
+        return doubtful;
+    }
+
+    private Collection<BackendServer> acceptingServers() {
+        return state.catalog().servers().all().stream()
+                .filter(BackendServer::isAccepting)
+                .toList();
+    }
+
+    private static Map<String, Object> fields(BackendServer server) {
+        return Fields.of("server", server.id(), "service", server.service(), "dataCentre", server.dataCentre());
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ReachabilityMonitor.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ReachabilityMonitor.java
@@ -1,6 +1,7 @@
 package io.coppershelf.proxy;
 
 import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.dispatch.ServerPaths;
 import io.coppershelf.dispatch.ServerReachability;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
@@ -9,9 +10,10 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** Checks whether this VM reaches any server, and announces changes. Runs on the traffic thread. */
+/** Checks whether this VM reaches any server and which ones, and announces changes. Runs on the traffic thread. */
 final class ReachabilityMonitor {
     private final ServerReachability reachability;
+    private final ServerPaths paths;
     private final ServerConnectionPool pool;
     private final ControlState state;
     private final EventLog log;
@@ -26,11 +28,13 @@
      */
     ReachabilityMonitor(
             ServerReachability reachability,
+            ServerPaths paths,
             ServerConnectionPool pool,
             ControlState state,
             EventLog log,
             Consumer<Boolean> onChange) {
         this.reachability = reachability;
+        this.paths = paths;
         this.pool = pool;
         this.state = state;
         this.log = log;
@@ -57,6 +61,9 @@
         for (BackendServer server : reachability.pollChecks(this::acceptingServers, System.nanoTime())) {
             pool.check(server, result -> poll());
         }
+        for (BackendServer server : paths.pollChecks(System.nanoTime())) {
+            pool.check(server, result -> poll());
+        }
         if (reachability.isCutOff() != isAnnouncedCutOff) {
             isAnnouncedCutOff = reachability.isCutOff();
             log.important(isAnnouncedCutOff ? "servers-unreachable" : "servers-reachable", Fields.of());
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RelayAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RelayAttempt.java
@@ -4,6 +4,7 @@
 import io.coppershelf.http.HttpAnswer;
 import io.coppershelf.http.HttpConnection;
 import io.coppershelf.http.RetryAfter;
+import io.coppershelf.outcome.ErrorKind;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Locale;
@@ -40,6 +41,12 @@
         return RelayHeaders.servers(answer().headers(), 0);
     }
 
+    /** Returns whether the other VM states that it reaches no server of the service. */
+    boolean isOutOfReach() {
+        return serversReached() == 0
+                && ErrorKind.NO_SERVER.code().equals(answer().headers().get(CallerSink.ERROR));
+    }
+
     /** Returns the time after which the caller may retry, as the other VM states it. */
     Optional<Duration> retryAfter() {
         return RetryAfter.parse(answer().headers());
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -1,7 +1,6 @@
 package io.coppershelf.proxy;
 
 import io.coppershelf.catalog.BackendServer;
-import io.coppershelf.catalog.Catalog;
 import io.coppershelf.catalog.Route;
 import io.coppershelf.dispatch.AttemptAllocator;
 import io.coppershelf.dispatch.PlanStep;
@@ -36,6 +35,7 @@
     private final RequestWriter writer;
     private final List<Attempt> attempts = new ArrayList<>();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
+    private boolean isCounted;
     private boolean isEnded;
 
     RequestExecution(
@@ -68,8 +68,9 @@
     void start() {
         context.metrics().requestStarted();
         long now = System.nanoTime();
-        if (!isCutOff()) {
-            // Else the VM that the request is handed to counts it.
+        isCounted = !isCutOff() && isFirstToSend();
+        if (isCounted) {
+            // Else the VM that the request is handed to counts it, or the one that sent it to a server before.
             context.budget().countRequest(service, now);
         }
         execute(plan.start(now));
@@ -101,14 +102,12 @@
 
     @Override
     public Optional<BackendServer> choose(Set<String> excluded, boolean isLastAttempt) {
-        Catalog catalog = context.state().catalog();
-        return context.chooser()
-                .choose(catalog.servers().accepting(service), route.kind(), isLastAttempt, excluded, System.nanoTime());
+        return context.reachableChooser().choose(accepting(), route.kind(), isLastAttempt, excluded, System.nanoTime());
     }
 
     @Override
     public Optional<Duration> pause() {
-        return context.chooser().pause(context.state().catalog().servers().accepting(service), System.nanoTime());
+        return context.chooser().pause(accepting(), System.nanoTime());
     }
 
     @Override
@@ -124,7 +123,26 @@
     @Override
     public Optional<InetSocketAddress> relay(Set<InetSocketAddress> excluded) {
         // A request is handed on once only, so that it can't travel in a circle.
-        return request.relay().isPresent() ? Optional.empty() : context.state().relay(excluded);
+        return request.relay().isPresent()
+                ? Optional.empty()
+                : context.reachableChooser()
+                        .relays()
+                        .choose(service, excluded, context.state()::relay, System.nanoTime());
+    }
+
+    @Override
+    public boolean isOutOfReach(Set<String> excluded) {
+        return context.reachableChooser().isOutOfReach(accepting(), excluded, System.nanoTime());
+    }
+
+    private List<BackendServer> accepting() {
+        return context.state().catalog().servers().accepting(service);
+    }
+
+    private boolean isFirstToSend() {
+        return request.relay()
+                .map(relay -> relay.servers() >= route.maxServers())
+                .orElse(true);
     }
 
     @Override
@@ -162,6 +180,9 @@
         } else {
             requestLog.attemptEnded(attempt, number, end.name(), detail);
         }
+        if (attempt instanceof RelayAttempt relayed) {
+            recordRelay(relayed, end, now);
+        }
         execute(
                 switch (end) {
                     case NOT_SENT -> plan.notSent(number, now);
@@ -172,6 +193,14 @@
                 });
     }
 
+    private void recordRelay(RelayAttempt attempt, Attempt.End end, long nowNanos) {
+        if (end == Attempt.End.NOT_SENT || (end == Attempt.End.NOT_RUN && attempt.isOutOfReach())) {
+            context.reachableChooser().relays().notReached(service, attempt.vm(), nowNanos);
+        } else if (end != Attempt.End.LOST) {
+            context.reachableChooser().relays().reached(service, attempt.vm());
+        }
+    }
+
     private List<PlanStep> notRun(Attempt attempt, int number, long nowNanos) {
         return attempt instanceof RelayAttempt relayed
                 ? plan.relayNotRun(number, relayed.serversReached(), relayed.retryAfter(), nowNanos)
@@ -212,6 +241,11 @@
     }
 
     private void relay(PlanStep.Relay relay) {
+        if (isCounted && relay.servers() == plan.maxServers()) {
+            // No server has received it, so the other VM counts it.
+            isCounted = false;
+            context.budget().uncountRequest(service, System.nanoTime());
+        }
         RelayAttempt attempt = new RelayAttempt(context, relay.attempt(), relay.vm(), requestId, this);
         attempts.add(attempt);
         writer.send(attempt, relay.servers());
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
@@ -133,6 +133,7 @@
         if (isEnded) {
             return;
         }
+        context.reachableChooser().paths().answered(server, System.nanoTime());
         boolean wantsPause = notices.record(received);
         if (isRefusal(received)) {
             endRefused(received, wantsPause);
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerConnectionPool.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerConnectionPool.java
@@ -7,8 +7,11 @@
 import io.netty.channel.ConnectTimeoutException;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -28,10 +31,14 @@
     /** Observes the outcomes of new connections. */
     interface Observer {
         /** Called when a connection to a server is open. */
-        void connected(String serverId);
-
-        /** Called when a server could not be reached. */
-        void failed(String serverId);
+        void connected(BackendServer server);
+
+        /**
+         * Called when a server could not be reached.
+         *
+         * @return other servers that are now unlikely to be reached; requests stop to wait for connections to them
+         */
+        Collection<BackendServer> failed(BackendServer server);
     }
 
     private final HttpConnector connector;
@@ -67,16 +74,25 @@
             return;
         }
         connections.open++;
+        Waiter waiter = new Waiter(onOpen, onFailure);
+        connections.waiters.add(waiter);
         connector.open(
                 server.address(),
                 connection -> {
-                    observer.ifPresent(observing -> observing.connected(server.id()));
-                    onOpen.accept(connection);
+                    observer.ifPresent(observing -> observing.connected(server));
+                    if (connections.waiters.remove(waiter)) {
+                        waiter.onOpen.accept(connection);
+                    } else {
+                        connections.idle.addFirst(connection);
+                    }
                 },
                 cause -> {
                     connections.open--;
-                    observer.ifPresent(observing -> observing.failed(server.id()));
-                    onFailure.accept(cause.toString());
+                    boolean isWaiting = connections.waiters.remove(waiter);
+                    connectFailed(server, connections);
+                    if (isWaiting) {
+                        waiter.onFailure.accept(cause.toString());
+                    }
                 },
                 connections.idle::addFirst,
                 connections::closed);
@@ -93,12 +109,12 @@
                 server.address(),
                 connection -> {
                     connections.idle.addFirst(connection);
-                    observer.ifPresent(observing -> observing.connected(server.id()));
+                    observer.ifPresent(observing -> observing.connected(server));
                     onResult.accept(ServerState.ACCEPTING);
                 },
                 cause -> {
                     connections.open--;
-                    observer.ifPresent(observing -> observing.failed(server.id()));
+                    connectFailed(server, connections);
                     boolean isRefused =
                             cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
                     onResult.accept(isRefused ? ServerState.REFUSING : ServerState.UNKNOWN);
@@ -107,6 +123,17 @@
                 connections::closed);
     }
 
+    /** Ends the wait of all requests for connections to a server that failed, and to those that failed with it. */
+    private void connectFailed(BackendServer server, ServerConnections connections) {
+        Collection<BackendServer> doubtful =
+                observer.map(observing -> observing.failed(server)).orElse(List.of());
+        connections.endWaits("another connection to the server failed");
+        for (BackendServer other : doubtful) {
+            Optional.ofNullable(connectionsByServer.get(keyOf(other)))
+                    .ifPresent(waiting -> waiting.endWaits("connections to several servers like this one failed"));
+        }
+    }
+
     /**
      * Closes connections that were idle for too long, and removes servers that are no longer registered and have no
      * connection.
@@ -127,8 +154,20 @@
         return server.id() + '@' + server.startedMillis() + '@' + server.address();
     }
 
+    /** A request that waits for a new connection. */
+    private static final class Waiter {
+        private final Consumer<HttpConnection> onOpen;
+        private final Consumer<String> onFailure;
+
+        Waiter(Consumer<HttpConnection> onOpen, Consumer<String> onFailure) {
+            this.onOpen = onOpen;
+            this.onFailure = onFailure;
+        }
+    }
+
     private static final class ServerConnections {
         private final Deque<HttpConnection> idle = new ArrayDeque<>();
+        private final List<Waiter> waiters = new ArrayList<>();
         private final String serverId;
         private int open;
 
@@ -136,6 +175,13 @@
             this.serverId = serverId;
         }
 
+        /** Connections that open after all are kept for later requests. */
+        void endWaits(String reason) {
+            List<Waiter> ended = List.copyOf(waiters);
+            waiters.clear();
+            ended.forEach(waiter -> waiter.onFailure.accept(reason));
+        }
+
         void closed(HttpConnection connection) {
             open--;
             idle.remove(connection);
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
@@ -1,6 +1,7 @@
 package io.coppershelf.proxy;
 
 import io.coppershelf.dispatch.FleetRetryBudget;
+import io.coppershelf.dispatch.ReachableChooser;
 import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.dispatch.ServerReachability;
 import io.coppershelf.dispatch.TypicalLatency;
@@ -16,6 +17,7 @@
  * The state that all requests of this VM share. Confined to the traffic thread.
  *
  * @param loop the traffic thread
+ * @param reachableChooser the choice among the servers that this VM reaches
  * @param pool the connections to servers
  * @param relayPool the connections to other VMs
  */
@@ -24,6 +26,7 @@
         HeaderNames names,
         ControlState state,
         ServerChooser chooser,
+        ReachableChooser reachableChooser,
         FleetRetryBudget budget,
         WeightedRoundRobin roundRobin,
         ServerConnectionPool pool,
@@ -41,6 +44,7 @@
             HeaderNames names,
             ControlState state,
             ServerChooser chooser,
+            ReachableChooser reachableChooser,
             FleetRetryBudget budget,
             WeightedRoundRobin roundRobin,
             ServerConnectionPool pool,
@@ -56,6 +60,7 @@
                 names,
                 state,
                 chooser,
+                reachableChooser,
                 budget,
                 roundRobin,
                 pool,
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -6,8 +6,10 @@
 import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.FleetRetryBudget;
 import io.coppershelf.dispatch.IdleServerTracker;
+import io.coppershelf.dispatch.ReachableChooser;
 import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.dispatch.ServerLimits;
+import io.coppershelf.dispatch.ServerPaths;
 import io.coppershelf.dispatch.ServerReachability;
 import io.coppershelf.dispatch.WeightedRoundRobin;
 import io.coppershelf.eventlog.EventLog;
@@ -86,14 +88,17 @@
         BodyMemory bodies = new BodyMemory(BODY_BYTES);
         HttpConnector connector = new HttpConnector(loop, CONNECT_TIMEOUT, bodies);
         ServerReachability reachability = new ServerReachability(random);
-        ServerConnectionPool pool = new ServerConnectionPool(connector, Optional.of(observer(reachability, state)));
+        ServerPaths paths = new ServerPaths();
         ServerChooser chooser =
                 new ServerChooser(dataCentre, estimates, fleetLoad, idleServers, limits, state::fleetPosition, random);
-        ReachabilityMonitor monitor = new ReachabilityMonitor(reachability, pool, state, log, isReachable -> {
+        ServerConnectionPool pool = new ServerConnectionPool(
+                connector, Optional.of(new PathObserver(reachability, paths, chooser, state, log)));
+        ReachabilityMonitor monitor = new ReachabilityMonitor(reachability, paths, pool, state, log, isReachable -> {
             state.serversReachable(isReachable);
             if (isReachable) {
                 // The failures of the last seconds were those of this VM's own paths.
                 chooser.forgetPathFailures();
+                paths.recheckAll(System.nanoTime());
             }
         });
         callers = new DefaultChannelGroup(loop);
@@ -102,6 +107,7 @@
                 names,
                 state,
                 chooser,
+                new ReachableChooser(chooser, paths),
                 budget,
                 new WeightedRoundRobin(random),
                 pool,
@@ -114,21 +120,6 @@
                 crashes);
     }
 
-    private static ServerConnectionPool.Observer observer(ServerReachability reachability, ControlState state) {
-        return new ServerConnectionPool.Observer() {
-            @Override
-            public void connected(String serverId) {
-                reachability.connected(serverId, System.nanoTime());
-            }
-
-            @Override
-            public void failed(String serverId) {
-                reachability.connectFailed(
-                        serverId, state.catalog().servers().all().size());
-            }
-        };
-    }
-
     /**
      * Starts to listen and to serve callers.
      *
@@ -184,6 +175,7 @@
         context.pool().sweep(catalog.servers(), System.nanoTime());
         context.relayPool().sweep(catalog.servers(), System.nanoTime());
         context.chooser().retain(catalog.servers());
+        context.reachableChooser().paths().retain(catalog.servers());
     }
 
     /**
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
@@ -166,6 +166,45 @@
         assertThat(fail(plan.lost(0, MILLI)).kind()).isEqualTo(ErrorKind.SERVER_LOST);
     }
 
+    /** Guards against requests that fail although another VM reaches the servers that are left. */
+    @Test
+    void requestWhoseServersAreOutOfReachIsHandedToAnotherVm() {
+        RequestPlan plan = started(RequestKind.ONCE);
+        outOfReach("10.0.0.1");
+        assertThat(relay(plan.notSent(0, MILLI)).servers()).isEqualTo(2);
+        assertThat(fail(plan.lost(1, MILLI)).kind().outcome()).isEqualTo(Outcome.UNKNOWN);
+    }
+
+    @Test
+    void requestWhoseServersAreOutOfReachOfAllVmsIsSentToAServerInDoubt() {
+        outOfReach("10.0.0.1");
+        RequestPlan plan = plan(RequestKind.ONCE, allocator);
+        plan.start(0);
+        assertThat(send(plan.relayNotRun(0, 0, Optional.empty(), MILLI))
+                        .server()
+                        .id())
+                .isEqualTo("a");
+    }
+
+    /** Guards against a refusal after four connections that failed, while another VM can serve the request. */
+    @Test
+    void requestWhoseConnectionsAllFailedIsHandedToAnotherVm() {
+        FakeAllocator many = new FakeAllocator("a", "b", "c", "d", "e");
+        many.vms = List.of(new InetSocketAddress("10.0.0.1", 1));
+        RequestPlan plan = plan(RequestKind.ONCE, many);
+        plan.start(0);
+        for (int i = 0; i < 3; i++) {
+            send(plan.notSent(i, MILLI));
+        }
+        assertThat(relay(plan.notSent(3, MILLI)).servers()).isEqualTo(2);
+    }
+
+    private void outOfReach(String... vms) {
+        cutOff(vms);
+        allocator.isCutOff = false;
+        allocator.isOutOfReach = true;
+    }
+
     private void cutOff(String... vms) {
         allocator.isCutOff = true;
         allocator.vms =
@@ -284,6 +323,7 @@
         private Optional<Duration> pause = Optional.empty();
         private Optional<Duration> quarantine = Optional.empty();
         private boolean isCutOff;
+        private boolean isOutOfReach;
         private List<InetSocketAddress> vms = List.of();
         private boolean isLastAttempt;
 
@@ -316,6 +356,11 @@
             return isCutOff;
         }
 
+        @Override
+        public boolean isOutOfReach(Set<String> excluded) {
+            return isOutOfReach;
+        }
+
         @Override
         public Optional<InetSocketAddress> relay(Set<InetSocketAddress> excluded) {
             return vms.stream().filter(vm -> !excluded.contains(vm)).findFirst();
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServerReachabilityTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerReachabilityTest.java
@@ -78,6 +78,43 @@
         assertThat(reachability.isCutOff()).isTrue();
     }
 
+    /**
+     * Guards against a VM that counts as cut off since the servers that it reached last, and checks first, are those
+     * that crashed before: their callers were refused although half of the servers ran.
+     */
+    @Test
+    void serversThatFailedBeforeDoNotCutTheVmOff() {
+        servers.replaceAll(server -> server(server.id(), "service-0"));
+        for (int i = 0; i < 6; i++) {
+            reachability.connected("i-" + i, i * MILLI);
+        }
+        for (int i = 0; i < 5; i++) {
+            reachability.connectFailed("i-" + i, servers.size());
+            reachability.connected("i-11", 6 * MILLI);
+        }
+        reachability.connectFailed("i-5", servers.size());
+        for (int i = 0; i < 5; i++) {
+            reachability.connectFailed("i-" + i, servers.size());
+        }
+        assertThat(reachability.isCutOff()).isFalse();
+        List<String> checks = poll(7 * MILLI).stream().map(BackendServer::id).toList();
+        assertThat(checks).containsNoneOf("i-0", "i-1", "i-2", "i-3", "i-4", "i-5");
+        checks.forEach(id -> reachability.connectFailed(id, servers.size()));
+        assertThat(reachability.isCutOff()).isTrue();
+    }
+
+    @Test
+    void serversWithoutAFailureAreCheckedBeforeThoseThatFailedBefore() {
+        servers.replaceAll(server -> server(server.id(), "service-0"));
+        for (int i = 0; i < 3; i++) {
+            reachability.connected("i-" + i, i * MILLI);
+            reachability.connectFailed("i-" + i, servers.size());
+        }
+        reachability.connected("i-11", 4 * MILLI);
+        reachability.connectFailed("i-3", servers.size());
+        assertThat(poll(5 * MILLI).stream().map(BackendServer::id).toList()).containsNoneOf("i-0", "i-1", "i-2");
+    }
+
     /** Guards against requests that wait on connections which have fallen silent, without any new connection. */
     @Test
     void serverIsCheckedIfNoneAnswersWhileRequestsAreInFlight() {
--- a/coppershelf/src/test/java/io/coppershelf/gateway/CutOffVmTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/gateway/CutOffVmTest.java
@@ -73,6 +73,23 @@
         assertThat(served).isAtLeast(2 * REQUESTS / 3);
     }
 
+    /** Guards against callers of a VM that reaches a third of the servers being served worse than those of others. */
+    @Test
+    void callersOfAVmThatReachesAPartOfTheServersAreServed() throws IOException {
+        List<Integer> ports = servers.stream().map(FakeBackendServer::port).toList();
+        start(meshAddress, ports);
+        List<Integer> reachedInPart = new ArrayList<>(ports);
+        for (int i = 2; i < SERVERS; i++) {
+            reachedInPart.set(i, FreePorts.address().getPort());
+        }
+        InetSocketAddress vm = start(FreePorts.address(), reachedInPart);
+        int served = 0;
+        for (int i = 0; i < REQUESTS; i++) {
+            served += post(vm, i).status() == 200 ? 1 : 0;
+        }
+        assertThat(served).isAtLeast((int) Math.ceil(0.95 * REQUESTS));
+    }
+
     private static RawCaller.Reply post(InetSocketAddress vm, int number) throws IOException {
         return RawCaller.exchange(
                 vm, "POST /once/" + number + " HTTP/1.1\nHost: host\nRequest-Id: r" + number + "\nDeadline: 3000\n\n");
--- a/coppershelf/src/test/java/io/coppershelf/proxy/RelayTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/RelayTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Iterables;
 import io.coppershelf.testing.Conditions;
 import io.coppershelf.testing.FakeBackendServer;
 import io.coppershelf.testing.FreePorts;
@@ -107,6 +108,27 @@
         assertThat(reply.header(RelayHeaders.RESULT)).isEqualTo(RelayHeaders.Result.NOT_RUN.name());
     }
 
+    /**
+     * Guards against a request that fails since the servers of its service that are left are out of this VM's reach.
+     */
+    @Test
+    void requestOfAServiceThatTheVmReachesOnlyInPartIsServedByAnotherVm() throws IOException {
+        serve(request -> ProxyFixture.answer(request, 503, "full", "Not-Run: 1"));
+        servers.get(5).close();
+        servers.set(5, FakeBackendServer.start(request -> ProxyFixture.answer(request, 200, "whole")));
+        other.serve(servers.get(5));
+        int[] ports = refusingPorts();
+        ports[0] = servers.get(0).port();
+        cutOff.servePorts(ports);
+        int served = 0;
+        for (int i = 0; i < 30; i++) {
+            served += cutOff.call("POST", "/once/part").status() == 200 ? 1 : 0;
+        }
+        assertThat(served).isAtLeast(29);
+        Conditions.await(
+                () -> !Boolean.FALSE.equals(Iterables.getLast(cutOff.state().reachable(), true)));
+    }
+
     /** Guards against a request that VMs which reach no server hand to each other in a circle. */
     @Test
     void vmsThatAllReachNoServerRefuseAtOnce() throws IOException {
