Admit requests by priority while a service is short of capacity

Callers of a service without free slots were served in order of arrival: urgent requests waited in the servers' queues behind others, and full servers refused both alike. A VM now keeps a threshold per service, controlled by the requests at its servers for each slot such that the servers' queues stay short. Requests above the threshold are refused on arrival (503, not run, with Retry-After); a part of every priority is always admitted. While capacity is short a request goes to a server that has just answered this VM or to the best of three random ones, and retries only to servers with a free slot.

Of the tests of proxy, dispatch and gateway 146 of 147 passed with the control on in the proxy fixture; EndlessAnswerTest, which keeps 200 requests at one server, was refused there. With the control off, as the fixture now is, EndlessAnswerTest, TrafficServerTest and RequestPlanTest passed; the others were not run again.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -138,6 +138,27 @@
         return stats.remainingWaitNanos(nowNanos);
     }
 
+    /**
+     * Returns the estimated requests at the servers for each of their slots. Servers that accept no requests of this VM
+     * now do not count; without any other the result is 0.
+     */
+    public double fill(List<BackendServer> servers, long nowNanos) {
+        double load = 0;
+        int slots = 0;
+        for (BackendServer server : servers) {
+            if (remainingWaitNanos(server, nowNanos) == 0 && !stats(server).isInBackoff(nowNanos)) {
+                load += estimatedLoad(server, nowNanos);
+                slots += server.slots();
+            }
+        }
+        return slots == 0 ? 0 : load / slots;
+    }
+
+    /** Returns whether the server is estimated to have a free slot. */
+    public boolean hasFreeSlot(BackendServer server, long nowNanos) {
+        return estimatedLoad(server, nowNanos) < server.slots();
+    }
+
     /**
      * Records the limit that a server names in an answer.
      *
--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -96,6 +96,7 @@
                 budget,
                 observations.crashes(),
                 settings.dataCentre(),
+                settings.features().isPrioritized(),
                 registry,
                 log);
         state.start(settings.meshAddress());
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/overload/ServiceAdmission.java
@@ -0,0 +1,155 @@
+package io.coppershelf.overload;
+
+import io.coppershelf.catalog.BackendServer;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+/** Decides on the requests of one service. Not thread-safe. */
+public final class ServiceAdmission {
+    /**
+     * Share of the common share that the least urgent requests get at least. A quarter is guaranteed; the rest allows
+     * for the scatter of small numbers.
+     */
+    private static final double FLOOR_SHARE = 0.3;
+    /** Weight of a request in the share of admitted ones, which covers about the last fifty. */
+    private static final double SHARE_WEIGHT = 0.02;
+    /** Largest effect of the work on the order among requests of one rank. */
+    private static final double MAX_WORK_RATIO = 4;
+    /** Share of the typical work within which hardly any request is answered. */
+    private static final double LEAST_WORK = 0.6;
+    /** Largest number of series of positions; beyond it all start anew. */
+    private static final int MAX_SERIES = 8192;
+    /** The fractional part of the golden ratio: its multiples are spread evenly at any length. */
+    private static final double GOLDEN_RATIO = 0.6180339887498949;
+
+    /** Time between two updates; the counts of other VMs arrive less often. */
+    private static final long UPDATE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
+    private final RankOrder ranks;
+    private final Random random;
+    private final AdmissionThreshold threshold;
+    private final FillEstimate fillEstimate = new FillEstimate();
+    private final LearnedWork work = new LearnedWork();
+    private final FreedPlaces places;
+    private final RetryAdvice advice;
+    private final ShortageCounts counts;
+    private final Map<String, Double> positions = new HashMap<>();
+    private double admittedShare = 1;
+    private boolean isViewIncomplete;
+    private boolean isUpdated;
+    private long updatedNanos;
+
+    /** Creates a control for a service whose requests have these ranks. */
+    public ServiceAdmission(RankOrder ranks, Random random) {
+        this.ranks = ranks;
+        this.random = random;
+        threshold = new AdmissionThreshold(ranks.size());
+        places = new FreedPlaces(random);
+        advice = new RetryAdvice(random);
+        counts = new ShortageCounts(ranks.size());
+    }
+
+    /** Returns the ranks of the service. */
+    public RankOrder ranks() {
+        return ranks;
+    }
+
+    /** Records the load that a server states in an answer, running and queued requests. */
+    public void recordLoad(BackendServer server, int load, long nowNanos) {
+        fillEstimate.recordAnswer(load, server.slots(), nowNanos);
+        places.add(server, load, nowNanos);
+    }
+
+    /** Returns the servers among which an admitted request chooses: all unless the service is short of capacity. */
+    public List<BackendServer> candidates(List<BackendServer> servers, long nowNanos) {
+        return isUnderPressure() ? places.candidates(servers, nowNanos) : servers;
+    }
+
+    /**
+     * Records that a request was answered.
+     *
+     * @param nanos the time from its sending to its answer
+     */
+    public void recordAnswer(String route, long nanos) {
+        work.record(route, nanos / (1 + threshold.queuedRounds()));
+    }
+
+    /**
+     * Takes in the present load of the service.
+     *
+     * @param sharedFill the requests at its servers for each slot, by the counts that the VMs share
+     */
+    public void update(double sharedFill, long nowNanos) {
+        isUpdated = true;
+        updatedNanos = nowNanos;
+        isViewIncomplete = fillEstimate.isViewIncomplete(sharedFill, nowNanos);
+        threshold.update(fillEstimate.fill(sharedFill, nowNanos), work.ofAll(), nowNanos);
+    }
+
+    /** Returns whether the last update is old enough for a new one, which takes time with many servers. */
+    public boolean isUpdateDue(long nowNanos) {
+        return !isUpdated || nowNanos - updatedNanos >= UPDATE_INTERVAL_NANOS;
+    }
+
+    /** Returns whether the service is short of capacity. */
+    public boolean isUnderPressure() {
+        return threshold.isUnderPressure();
+    }
+
+    /** Decides on a request that has arrived; {@link #update} tells the load before. */
+    public AdmissionDecision decide(AdmissionRequest request, long nowNanos) {
+        if (!threshold.isUnderPressure()) {
+            return new AdmissionDecision.Admit();
+        }
+        int index = ranks.index(request.rank());
+        double requestWork = work.of(request.route());
+        double within = within(request, requestWork);
+        boolean isInFloor = within < FLOOR_SHARE * admittedShare;
+        double position = isInFloor ? 0 : index + within;
+        boolean isTooLate =
+                request.remainingNanos() < threshold.queuedRounds() * work.ofAll() + LEAST_WORK * requestWork;
+        boolean isAdmitted = !isTooLate && (isInFloor || position < threshold.value());
+        admittedShare += SHARE_WEIGHT * ((isAdmitted ? 1 : 0) - admittedShare);
+        counts.record(index, isAdmitted);
+        if (isAdmitted) {
+            return new AdmissionDecision.Admit();
+        }
+        Duration retryAfter = advice.retryAfter(index, admittedShare);
+        AdmissionInputs inputs = new AdmissionInputs(
+                request.rank(),
+                position,
+                threshold.value(),
+                threshold.fill(),
+                Duration.ofNanos(nowNanos - updatedNanos),
+                Duration.ofNanos(fillEstimate.ageNanos(nowNanos)),
+                isViewIncomplete,
+                Duration.ofNanos((long) requestWork));
+        String reason = isTooLate ? "the deadline can't be met" : "the service is short of capacity";
+        return new AdmissionDecision.Refuse(reason, retryAfter, inputs);
+    }
+
+    /**
+     * Returns the place of a request among those of its rank, from 0 to 1: evenly spread for each route and tenant, and
+     * earlier for less work.
+     */
+    private double within(AdmissionRequest request, double requestWork) {
+        if (positions.size() >= MAX_SERIES) {
+            positions.clear();
+        }
+        double place = positions.merge(
+                request.route() + '\n' + request.tenant(),
+                random.nextDouble(),
+                (before, start) -> (before + GOLDEN_RATIO) % 1);
+        double ratio = Math.max(1 / MAX_WORK_RATIO, Math.min(MAX_WORK_RATIO, requestWork / work.ofAll()));
+        return ratio <= 1 ? place * ratio : 1 - (1 - place) / ratio;
+    }
+
+    /** Returns the counts since the last call, and starts new ones. */
+    public ShortageCounts.Summary pollCounts() {
+        return counts.poll(threshold.value(), threshold.fill(), threshold.queuedRounds() * work.ofAll());
+    }
+}
--- /dev/null
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/AdmissionGate.java
@@ -0,0 +1,163 @@
+package io.coppershelf.proxy;
+
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.FleetConfiguration;
+import io.coppershelf.catalog.RequestKind;
+import io.coppershelf.dispatch.ServerChooser;
+import io.coppershelf.eventlog.EventLog;
+import io.coppershelf.eventlog.Fields;
+import io.coppershelf.overload.AdmissionDecision;
+import io.coppershelf.overload.AdmissionRequest;
+import io.coppershelf.overload.RankOrder;
+import io.coppershelf.overload.ServiceAdmission;
+import io.coppershelf.overload.ServiceRanks;
+import io.coppershelf.overload.ShortageCounts;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Decides on the requests of services that are short of capacity, where the deployment or the configuration asks for
+ * it; other services are served as if there were no such control. Confined to the traffic thread.
+ */
+final class AdmissionGate {
+    private final boolean isAlwaysOn;
+    private final ControlState state;
+    private final ServerChooser chooser;
+    private final AdmissionMetrics metrics;
+    private final EventLog log;
+    private final Random random;
+    private final Map<String, ServiceAdmission> byService = new HashMap<>();
+    private Optional<FleetConfiguration> configuration = Optional.empty();
+    private Map<String, RankOrder> ranks = Map.of();
+
+    /**
+     * Creates a gate that knows no load yet.
+     *
+     * @param isAlwaysOn whether services are controlled whose requests all have the same rank
+     */
+    AdmissionGate(
+            boolean isAlwaysOn,
+            ControlState state,
+            ServerChooser chooser,
+            AdmissionMetrics metrics,
+            EventLog log,
+            Random random) {
+        this.isAlwaysOn = isAlwaysOn;
+        this.state = state;
+        this.chooser = chooser;
+        this.metrics = metrics;
+        this.log = log;
+        this.random = random;
+    }
+
+    /** Returns the refusal of a request that has arrived, empty if it is to be sent now. */
+    Optional<AdmissionDecision.Refuse> refusal(
+            ResolvedRequest resolved, String service, CallerRequest request, long deadlineNanos, long nowNanos) {
+        Optional<ServiceAdmission> admission = of(service);
+        if (admission.isEmpty()) {
+            return Optional.empty();
+        }
+        if (admission.get().isUpdateDue(nowNanos)) {
+            List<BackendServer> servers = state.catalog().servers().accepting(service);
+            admission.get().update(chooser.fill(servers, nowNanos), nowNanos);
+        }
+        AdmissionRequest asked = new AdmissionRequest(
+                resolved.rank(),
+                resolved.route().name(),
+                resolved.tenant().map(tenant -> tenant.name()).orElse(""),
+                deadlineNanos - nowNanos);
+        AdmissionDecision decision = admission.get().decide(asked, nowNanos);
+        return decision instanceof AdmissionDecision.Refuse refuse ? Optional.of(refuse) : Optional.empty();
+    }
+
+    /**
+     * Returns the server for an attempt. While capacity is short a retry is sent only to a server with a free slot, so
+     * that it takes no place in a queue from a first attempt.
+     */
+    Optional<BackendServer> choose(
+            String service,
+            RequestKind kind,
+            boolean isRetry,
+            boolean isLastAttempt,
+            Set<String> excluded,
+            long nowNanos) {
+        List<BackendServer> servers = state.catalog().servers().accepting(service);
+        Optional<ServiceAdmission> admission = of(service).filter(ServiceAdmission::isUnderPressure);
+        if (admission.isEmpty()) {
+            return chooser.choose(servers, kind, isLastAttempt, excluded, nowNanos);
+        }
+        if (isRetry) {
+            List<BackendServer> free = servers.stream()
+                    .filter(server -> chooser.hasFreeSlot(server, nowNanos))
+                    .toList();
+            return chooser.choose(free, kind, isLastAttempt, excluded, nowNanos);
+        }
+        return chooser.choose(admission.get().candidates(servers, nowNanos), kind, isLastAttempt, excluded, nowNanos)
+                .or(() -> chooser.choose(servers, kind, isLastAttempt, excluded, nowNanos));
+    }
+
+    /** Records the load that a server states in an answer. */
+    void recordLoad(BackendServer server, int load, long nowNanos) {
+        of(server.service()).ifPresent(admission -> admission.recordLoad(server, load, nowNanos));
+    }
+
+    /** Records the time from the sending of a request to its answer. */
+    void recordAnswer(String service, String route, long nanos) {
+        of(service).ifPresent(admission -> admission.recordAnswer(route, nanos));
+    }
+
+    /** Logs what was decided since the last call; called once a second. */
+    void report() {
+        byService.forEach((service, admission) -> {
+            ShortageCounts.Summary summary = admission.pollCounts();
+            metrics.record(service, admission.ranks(), summary, admission.isUnderPressure());
+            if (summary.offered() > 0) {
+                log.important(
+                        "capacity-short",
+                        Fields.of(
+                                "service", service,
+                                "offered", summary.offered(),
+                                "admitted", summary.totalAdmitted(),
+                                "refusedByPriority", byRank(admission.ranks(), summary.refused()),
+                                "threshold", summary.threshold(),
+                                "fill", summary.fill(),
+                                "waitMs", summary.expectedWait().toMillis()));
+            }
+        });
+    }
+
+    private static String byRank(RankOrder ranks, List<Integer> counts) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < counts.size(); i++) {
+            text.append(i == 0 ? "" : " ")
+                    .append(ranks.sorted().get(i))
+                    .append(':')
+                    .append(counts.get(i));
+        }
+        return text.toString();
+    }
+
+    private Optional<ServiceAdmission> of(String service) {
+        useConfiguration(state.catalog().configuration());
+        RankOrder order = ranks.get(service);
+        if (order == null || (order.size() < 2 && !isAlwaysOn)) {
+            return Optional.empty();
+        }
+        return Optional.of(byService.computeIfAbsent(service, name -> new ServiceAdmission(order, random)));
+    }
+
+    private void useConfiguration(Optional<FleetConfiguration> inForce) {
+        boolean isSame = inForce.isPresent() == configuration.isPresent()
+                && inForce.map(FleetConfiguration::version).equals(configuration.map(FleetConfiguration::version));
+        if (isSame) {
+            return;
+        }
+        configuration = inForce;
+        ranks = inForce.map(ServiceRanks::of).orElse(Map.of());
+        byService.entrySet().removeIf(entry -> !entry.getValue().ranks().equals(ranks.get(entry.getKey())));
+    }
+}
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -1,12 +1,13 @@
 package io.coppershelf.proxy;
 
 import io.coppershelf.catalog.BackendServer;
-import io.coppershelf.catalog.Catalog;
 import io.coppershelf.catalog.Route;
 import io.coppershelf.dispatch.AttemptAllocator;
 import io.coppershelf.dispatch.PlanStep;
 import io.coppershelf.dispatch.RequestPlan;
 import io.coppershelf.dispatch.TypicalLatency;
+import io.coppershelf.outcome.ErrorKind;
+import io.coppershelf.overload.AdmissionDecision;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -23,6 +24,7 @@
 
     private static final int FIRST_SERVER_ERROR = 500;
     private final TrafficContext context;
+    private final ResolvedRequest resolved;
     private final Route route;
     private final String service;
     private final CallerRequest request;
@@ -46,6 +48,7 @@
             Optional<Duration> callerTimeout,
             AnswerSink sink) {
         this.context = context;
+        this.resolved = resolved;
         route = resolved.route();
         this.service = service;
         this.request = request;
@@ -68,6 +71,9 @@
     void start() {
         context.metrics().requestStarted();
         long now = System.nanoTime();
+        if (!isCutOff() && isRefused(now)) {
+            return;
+        }
         if (!isCutOff()) {
             // Else the VM that the request is handed to counts it.
             context.budget().countRequest(service, now);
@@ -75,6 +81,17 @@
         execute(plan.start(now));
     }
 
+    /** Answers the caller at once if the service has no capacity for the request. */
+    private boolean isRefused(long nowNanos) {
+        Optional<AdmissionDecision.Refuse> refusal =
+                context.admission().refusal(resolved, service, request, deadlineNanos, nowNanos);
+        refusal.ifPresent(refuse -> {
+            requestLog.refusedBy(refuse.inputs());
+            end(new PlanStep.Fail(ErrorKind.OVERLOADED, refuse.reason(), Optional.of(refuse.retryAfter())));
+        });
+        return refusal.isPresent();
+    }
+
     /** Returns the number of servers that the request was sent to. */
     int serversReached() {
         return plan.serversReached();
@@ -101,9 +118,8 @@
 
     @Override
     public Optional<BackendServer> choose(Set<String> excluded, boolean isLastAttempt) {
-        Catalog catalog = context.state().catalog();
-        return context.chooser()
-                .choose(catalog.servers().accepting(service), route.kind(), isLastAttempt, excluded, System.nanoTime());
+        return context.admission()
+                .choose(service, route.kind(), plan.serversReached() > 0, isLastAttempt, excluded, System.nanoTime());
     }
 
     @Override
@@ -159,6 +175,7 @@
         if (end == Attempt.End.ANSWERED) {
             crashWatch.succeeded();
             latency.add(attempt.ageNanos());
+            context.admission().recordAnswer(service, route.name(), attempt.ageNanos());
         } else {
             requestLog.attemptEnded(attempt, number, end.name(), detail);
         }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestLog.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestLog.java
@@ -3,7 +3,9 @@
 import io.coppershelf.catalog.Catalog;
 import io.coppershelf.dispatch.ChoiceInputs;
 import io.coppershelf.eventlog.Fields;
+import io.coppershelf.overload.AdmissionInputs;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Writes the log lines and metrics of one request. */
@@ -14,6 +16,7 @@
     private final CallerRequest request;
     private final String requestId;
     private final long deadlineNanos;
+    private Optional<AdmissionInputs> refusal = Optional.empty();
 
     RequestLog(
             TrafficContext context,
@@ -30,6 +33,11 @@
         this.deadlineNanos = deadlineNanos;
     }
 
+    /** Keeps the inputs of a refusal for the line on the end of the request. */
+    void refusedBy(AdmissionInputs inputs) {
+        refusal = Optional.of(inputs);
+    }
+
     /** Records the end of the request. */
     void ended(String outcome, String reason, boolean isRoutine, int serversReached, int attempts, CrashWatch crashes) {
         long now = System.nanoTime();
@@ -47,6 +55,7 @@
                 "servers", serversReached,
                 "attempts", attempts);
         resolved.tenant().ifPresent(tenant -> fields.put("tenant", tenant.name()));
+        refusal.ifPresent(inputs -> putInputs(inputs, fields));
         request.relay().ifPresent(relay -> fields.put("relayedBy", relay.vm()));
         if (isRoutine) {
             context.log().routine("request-ended", fields);
@@ -58,6 +67,17 @@
         }
     }
 
+    private static void putInputs(AdmissionInputs inputs, Map<String, Object> fields) {
+        fields.put("priority", inputs.rank());
+        fields.put("position", inputs.position());
+        fields.put("threshold", inputs.threshold());
+        fields.put("fill", inputs.fill());
+        fields.put("answerMsBefore", inputs.answerAge().toMillis());
+        fields.put("loadMsBefore", inputs.loadAge().toMillis());
+        fields.put("viewIncomplete", inputs.isViewIncomplete());
+        fields.put("workMs", inputs.work().toMillis());
+    }
+
     /** Logs the end of an attempt that gave no good answer. */
     void attemptEnded(Attempt attempt, int number, String end, String detail) {
         Catalog catalog = context.state().catalog();
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerNotices.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerNotices.java
@@ -41,7 +41,9 @@
         String[] parts = header.split(",", -1);
         try {
             int load = Integer.parseInt(parts[0].trim()) + Integer.parseInt(parts[1].trim());
-            stats.recordReportedLoad(load, System.nanoTime());
+            long now = System.nanoTime();
+            stats.recordReportedLoad(load, now);
+            context.admission().recordLoad(server, load, now);
         } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
             logUnreadable("load-unreadable", header);
         }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
@@ -34,6 +34,7 @@
         EventLog log,
         BodyMemory bodies,
         CrashRecords crashes,
+        AdmissionGate admission,
         Map<String, TypicalLatency> latencies) {
 
     static TrafficContext create(
@@ -50,7 +51,8 @@
             TrafficMetrics metrics,
             EventLog log,
             BodyMemory bodies,
-            CrashRecords crashes) {
+            CrashRecords crashes,
+            AdmissionGate admission) {
         return new TrafficContext(
                 loop,
                 names,
@@ -66,6 +68,7 @@
                 log,
                 bodies,
                 crashes,
+                admission,
                 new HashMap<>());
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -68,6 +68,7 @@
      *
      * @param loop the traffic thread
      * @param dataCentre the data centre of this VM
+     * @param isPrioritized whether requests compete for capacity by their cost also where all have the same priority
      */
     public TrafficServer(
             EventLoop loop,
@@ -80,6 +81,7 @@
             FleetRetryBudget budget,
             CrashRecords crashes,
             String dataCentre,
+            boolean isPrioritized,
             PrometheusRegistry registry,
             EventLog log) {
         Random random = new Random();
@@ -111,7 +113,8 @@
                 new TrafficMetrics(registry),
                 log,
                 bodies,
-                crashes);
+                crashes,
+                new AdmissionGate(isPrioritized, state, chooser, new AdmissionMetrics(registry), log, random));
     }
 
     private static ServerConnectionPool.Observer observer(ServerReachability reachability, ControlState state) {
@@ -140,6 +143,7 @@
         context.loop().scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         context.loop()
                 .scheduleWithFixedDelay(context.monitor()::poll, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        context.loop().scheduleWithFixedDelay(context.admission()::report, 1, 1, TimeUnit.SECONDS);
     }
 
     private Channel bind(InetSocketAddress address, boolean isForRelays) {
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/overload/OverloadSimulation.java
@@ -0,0 +1,312 @@
+package io.coppershelf.overload;
+
+import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.RequestKind;
+import io.coppershelf.dispatch.FleetLoad;
+import io.coppershelf.dispatch.FleetPosition;
+import io.coppershelf.dispatch.FleetRetryBudget;
+import io.coppershelf.dispatch.IdleServerTracker;
+import io.coppershelf.dispatch.ServerChooser;
+import io.coppershelf.dispatch.ServerLimits;
+import io.coppershelf.dispatch.ServerStats;
+import io.coppershelf.health.estimate.HealthEstimates;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+
+/** A fleet of 100 VMs and the servers of one customer in virtual time. */
+final class OverloadSimulation {
+    static final int VMS = 100;
+    private static final long MILLI = 1_000_000;
+    private static final long NETWORK = 400_000;
+    /** Interval of the reports of a VM, as in a fleet of this size. */
+    private static final long REPORT_INTERVAL = 85 * MILLI;
+    /** Time after which the VMs know of servers that were lost or are back. */
+    private static final long CATALOG_DELAY = OverloadScenario.SECOND;
+
+    private static final int SERVER_QUEUE = 8;
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+    private final OverloadScenario scenario;
+    private final boolean isControlled;
+    private final Random random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at));
+    private final Map<String, Server> servers = new HashMap<>();
+    private final Map<String, List<BackendServer>> all = new HashMap<>();
+    private final Map<String, List<BackendServer>> registered = new HashMap<>();
+    private final List<Vm> vms = new ArrayList<>();
+    private final FleetLoad shared = new FleetLoad();
+    private final List<SimulatedRequest> requests;
+
+    OverloadSimulation(OverloadScenario scenario, boolean isControlled, long seed) {
+        this.scenario = scenario;
+        this.isControlled = isControlled;
+        random = new Random(seed);
+        requests = scenario.requests(random);
+        for (OverloadScenario.Service service : scenario.services()) {
+            List<BackendServer> list = new ArrayList<>();
+            for (int i = 0; i < service.servers(); i++) {
+                BackendServer server = new BackendServer(
+                        service.name() + i,
+                        1,
+                        service.name(),
+                        new InetSocketAddress(1),
+                        "here",
+                        service.slots(),
+                        true,
+                        0);
+                list.add(server);
+                servers.put(server.id(), new Server(server));
+            }
+            all.put(service.name(), list);
+            registered.put(service.name(), list);
+        }
+        for (int i = 0; i < VMS; i++) {
+            vms.add(new Vm(i, i < scenario.deafShare() * VMS ? new FleetLoad() : shared));
+        }
+    }
+
+    /** Plays the run and returns the requests. */
+    List<SimulatedRequest> play() {
+        requests.forEach(request -> {
+            request.vm = random.nextInt(VMS);
+            at(request.arrivedNanos, now -> vms.get(request.vm).arrived(request, now));
+        });
+        vms.forEach(vm -> at((long) (random.nextDouble() * REPORT_INTERVAL), vm::report));
+        if (scenario.outage().share() > 0) {
+            at(OverloadScenario.Outage.FROM, now -> lose(now));
+            at(OverloadScenario.Outage.TO, now -> servers.values().forEach(server -> server.isLost = false));
+            at(OverloadScenario.Outage.FROM + CATALOG_DELAY, now -> register());
+            at(OverloadScenario.Outage.TO + CATALOG_DELAY, now -> register());
+        }
+        while (!events.isEmpty()) {
+            Event event = events.poll();
+            event.action.run(event.at);
+        }
+        return requests;
+    }
+
+    private void lose(long now) {
+        all.values()
+                .forEach(list -> list.stream()
+                        .limit(Math.round(list.size() * scenario.outage().share()))
+                        .forEach(server -> servers.get(server.id()).lose(now)));
+    }
+
+    private void register() {
+        all.forEach((service, list) -> registered.put(
+                service,
+                list.stream().filter(server -> !servers.get(server.id()).isLost).toList()));
+    }
+
+    private void at(long nanos, Action action) {
+        events.add(new Event(nanos, action));
+    }
+
+    private interface Action {
+        void run(long now);
+    }
+
+    private record Event(long at, Action action) {}
+
+    private record Sent(SimulatedRequest request, Vm vm, BackendServer to, long at, Set<String> used) {}
+
+    private final class Server {
+        private final BackendServer self;
+        private final Deque<Sent> queue = new ArrayDeque<>();
+        private final Set<Sent> running = new HashSet<>();
+        private boolean isLost;
+
+        Server(BackendServer self) {
+            this.self = self;
+        }
+
+        void arrived(Sent sent, long now) {
+            if (isLost) {
+                at(now + NETWORK, later -> sent.vm.notSent(sent, later));
+            } else if (running.size() < self.slots()) {
+                start(sent, now);
+            } else if (queue.size() < SERVER_QUEUE) {
+                queue.add(sent);
+            } else {
+                int load = running.size() + queue.size();
+                at(now + NETWORK, later -> sent.vm.notRun(sent, load, later));
+            }
+        }
+
+        private void start(Sent sent, long now) {
+            running.add(sent);
+            at(now + sent.request.workNanos, later -> finished(sent, later));
+        }
+
+        private void finished(Sent sent, long now) {
+            if (!running.remove(sent)) {
+                return;
+            }
+            if (!queue.isEmpty()) {
+                start(queue.remove(), now);
+            }
+            int load = running.size() + queue.size();
+            at(now + NETWORK, later -> sent.vm.answered(sent, load, later));
+        }
+
+        void lose(long now) {
+            isLost = true;
+            running.forEach(sent -> at(now + NETWORK, later -> sent.vm.ended(sent)));
+            queue.forEach(sent -> at(now + NETWORK, later -> sent.vm.ended(sent)));
+            running.clear();
+            queue.clear();
+        }
+    }
+
+    private final class Vm {
+        private final int index;
+        private final ServerChooser chooser;
+        private final FleetRetryBudget budget = new FleetRetryBudget(0.2, 58, Duration.ofSeconds(10));
+        private final Map<String, ServiceAdmission> admissions = new HashMap<>();
+        private final Set<BackendServer> changed = new HashSet<>();
+
+        Vm(int index, FleetLoad load) {
+            this.index = index;
+            FleetPosition position = new FleetPosition(index, VMS);
+            chooser = new ServerChooser(
+                    "here",
+                    new HealthEstimates(),
+                    load,
+                    new IdleServerTracker(),
+                    new ServerLimits(),
+                    () -> position,
+                    random);
+            for (OverloadScenario.Service service : scenario.services()) {
+                List<Integer> ranks = scenario.kinds().stream()
+                        .filter(kind -> kind.weights().containsKey(service.name()))
+                        .map(OverloadScenario.Kind::rank)
+                        .toList();
+                admissions.put(service.name(), new ServiceAdmission(RankOrder.of(ranks), random));
+            }
+        }
+
+        void arrived(SimulatedRequest request, long now) {
+            budget.countRequest(request.service, now);
+            if (isControlled && decide(request, now) instanceof AdmissionDecision.Refuse refuse) {
+                refused(request, refuse.retryAfter(), now);
+            } else {
+                send(request, new HashSet<>(), now);
+            }
+        }
+
+        private AdmissionDecision decide(SimulatedRequest request, long now) {
+            ServiceAdmission admission = admissions.get(request.service);
+            if (admission.isUpdateDue(now)) {
+                admission.update(chooser.fill(registered.get(request.service), now), now);
+            }
+            return admission.decide(
+                    new AdmissionRequest(
+                            request.kind.rank(),
+                            request.kind.name(),
+                            "t" + request.tenant,
+                            TIMEOUT.toNanos() - (now - request.returnedNanos)),
+                    now);
+        }
+
+        private void send(SimulatedRequest request, Set<String> used, long now) {
+            boolean isRetry = request.attempts > 0;
+            Optional<BackendServer> server = choose(request.service, isRetry, used, now);
+            if (server.isEmpty() || used.size() > 4) {
+                refused(request, Duration.ofMillis(400), now);
+                return;
+            }
+            used.add(server.get().id());
+            ServerStats stats = chooser.stats(server.get());
+            stats.requestStarted(now);
+            changed.add(server.get());
+            Sent sent = new Sent(request, this, server.get(), now, used);
+            at(now + NETWORK, later -> servers.get(server.get().id()).arrived(sent, later));
+        }
+
+        private Optional<BackendServer> choose(String service, boolean isRetry, Set<String> used, long now) {
+            List<BackendServer> list = registered.get(service);
+            ServiceAdmission admission = admissions.get(service);
+            boolean isShort = isControlled && admission.isUnderPressure();
+            List<BackendServer> candidates = list;
+            if (isShort && isRetry) {
+                candidates = list.stream()
+                        .filter(server -> chooser.hasFreeSlot(server, now))
+                        .toList();
+            } else if (isShort) {
+                candidates = admission.candidates(list, now);
+            }
+            Optional<BackendServer> chosen = chooser.choose(candidates, RequestKind.ONCE, true, used, now);
+            return chosen.isPresent() || isRetry ? chosen : chooser.choose(list, RequestKind.ONCE, true, used, now);
+        }
+
+        void notSent(Sent sent, long now) {
+            ended(sent);
+            chooser.stats(sent.to).recordPathFailure(now);
+            send(sent.request, sent.used, now);
+        }
+
+        void notRun(Sent sent, int load, long now) {
+            ended(sent);
+            loadReported(sent, load, now);
+            sent.request.attempts++;
+            if (sent.request.attempts < 2 && budget.tryAcquire(sent.request.service, VMS, now)) {
+                send(sent.request, sent.used, now);
+            } else {
+                refused(sent.request, Duration.ofMillis(400), now);
+            }
+        }
+
+        void answered(Sent sent, int load, long now) {
+            ended(sent);
+            loadReported(sent, load, now);
+            admissions.get(sent.request.service).recordAnswer(sent.request.kind.name(), now - sent.at);
+            sent.request.isServed = true;
+            sent.request.endedNanos = now;
+        }
+
+        private void loadReported(Sent sent, int load, long now) {
+            chooser.stats(sent.to).recordReportedLoad(load, now);
+            admissions.get(sent.request.service).recordLoad(sent.to, load, now);
+        }
+
+        void ended(Sent sent) {
+            chooser.stats(sent.to).requestEnded();
+            changed.add(sent.to);
+        }
+
+        private void refused(SimulatedRequest request, Duration retryAfter, long now) {
+            request.refusalNanos = Math.max(request.refusalNanos, now - request.returnedNanos);
+            boolean isAsTold = scenario.returns() == OverloadScenario.Returns.AS_TOLD;
+            long back = now + (isAsTold ? retryAfter.toNanos() : 5 * MILLI);
+            if (scenario.returns() != OverloadScenario.Returns.NEVER
+                    && back - request.arrivedNanos < request.kind.objectiveNanos()) {
+                request.returnedNanos = back;
+                request.attempts = 0;
+                at(back, later -> vms.get(random.nextInt(VMS)).arrived(request, later));
+            }
+        }
+
+        void report(long now) {
+            changed.forEach(server -> {
+                ServerStats stats = chooser.stats(server);
+                shared.recordInFlight(index, stats.code(), stats.inFlight(), now);
+            });
+            changed.clear();
+            if (now < OverloadScenario.END + 5 * OverloadScenario.SECOND) {
+                at(now + REPORT_INTERVAL, this::report);
+            }
+        }
+    }
+}
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -59,6 +59,15 @@
     private final TrafficServer server;
 
     ProxyFixture() {
+        this(false);
+    }
+
+    /** Creates a traffic path that controls the admission of requests. */
+    static ProxyFixture prioritized() {
+        return new ProxyFixture(true);
+    }
+
+    private ProxyFixture(boolean isPrioritized) {
         address = FreePorts.address();
         server = new TrafficServer(
                 group.next(),
@@ -71,6 +80,7 @@
                 new FleetRetryBudget(0.2, 58, Duration.ofSeconds(10)),
                 new CrashRecords(),
                 "here",
+                isPrioritized,
                 new PrometheusRegistry(),
                 EventLog.NONE);
         relayAddress = FreePorts.address();
