Merge admission by priority

In the merge, the choice while capacity is short avoids suspected servers and those whose path is down, and a server that has just failed a request does not attract the next one by its free slots. The control acts only where the settings ask for it: the routes of all deployments have priorities, and those without the contract are served as before.

--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerNotices.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerNotices.java
@@ -13,6 +13,8 @@
 final class ServerNotices {
     private static final int STATUS_UNAVAILABLE = 503;
 
+    private static final int FIRST_SERVER_ERROR = 500;
+
     private final TrafficContext context;
     private final BackendServer server;
     private final ServerStats stats;
@@ -41,7 +43,10 @@
         String[] parts = header.split(",", -1);
         try {
             int load = Integer.parseInt(parts[0].trim()) + Integer.parseInt(parts[1].trim());
-            stats.recordReportedLoad(load, System.nanoTime());
+            long now = System.nanoTime();
+            stats.recordReportedLoad(load, now);
+            boolean isFailure = answer.status() >= FIRST_SERVER_ERROR;
+            context.admission().recordLoad(server, load, isFailure, now);
         } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
             logUnreadable("load-unreadable", header);
         }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
@@ -37,6 +37,7 @@
         EventLog log,
         BodyMemory bodies,
         CrashRecords crashes,
+        AdmissionGate admission,
         Map<String, TypicalLatency> latencies) {
 
     static TrafficContext create(
@@ -54,7 +55,8 @@
             TrafficMetrics metrics,
             EventLog log,
             BodyMemory bodies,
-            CrashRecords crashes) {
+            CrashRecords crashes,
+            AdmissionGate admission) {
         return new TrafficContext(
                 loop,
                 names,
@@ -71,6 +73,7 @@
                 log,
                 bodies,
                 crashes,
+                admission,
                 new HashMap<>());
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -70,6 +70,7 @@
      *
      * @param loop the traffic thread
      * @param dataCentre the data centre of this VM
+     * @param isPrioritized whether requests compete for the capacity of servers by their cost
      */
     public TrafficServer(
             EventLoop loop,
@@ -82,6 +83,7 @@
             FleetRetryBudget budget,
             CrashRecords crashes,
             String dataCentre,
+            boolean isPrioritized,
             PrometheusRegistry registry,
             EventLog log) {
         Random random = new Random();
@@ -101,13 +103,14 @@
                 paths.recheckAll(System.nanoTime());
             }
         });
+        ReachableChooser reachableChooser = new ReachableChooser(chooser, paths);
         callers = new DefaultChannelGroup(loop);
         context = TrafficContext.create(
                 loop,
                 names,
                 state,
                 chooser,
-                new ReachableChooser(chooser, paths),
+                reachableChooser,
                 budget,
                 new WeightedRoundRobin(random),
                 pool,
@@ -117,7 +120,9 @@
                 new TrafficMetrics(registry),
                 log,
                 bodies,
-                crashes);
+                crashes,
+                new AdmissionGate(
+                        isPrioritized, state, chooser, reachableChooser, new AdmissionMetrics(registry), log, random));
     }
 
     /**
@@ -131,6 +136,7 @@
         context.loop().scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
         context.loop()
                 .scheduleWithFixedDelay(context.monitor()::poll, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        context.loop().scheduleWithFixedDelay(context.admission()::report, 1, 1, TimeUnit.SECONDS);
     }
 
     private Channel bind(InetSocketAddress address, boolean isForRelays) {
