Share the usage caps of tenants between all VMs

A tenant that sent six times its usual rate used the capacity of all others: nothing counted its requests over all VMs. A few granters of each tenant, found by rendezvous hashing, now lend tokens that expire after a second; a request of a capped tenant waits up to 150 ms for one without blocking the traffic thread, and is refused with 429 over the cap or with 503 if no granter answers. Requests that other VMs hand over have their token already; requests that end as not run give theirs back.

--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -83,6 +83,9 @@
                 settings.features().hasTenants(),
                 new MeshMetrics(registry),
                 log);
+        if (settings.features().quota().isPresent()) {
+            state.shareUsageCaps();
+        }
         FleetRetryBudget budget =
                 new FleetRetryBudget(settings.retryRatio(), settings.retriesPerWindow(), settings.retryWindow());
         TrafficServer traffic = new TrafficServer(
--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -13,6 +13,7 @@
 import io.coppershelf.eventlog.Fields;
 import io.coppershelf.proxy.ControlState;
 import io.coppershelf.proxy.FleetReports;
+import io.coppershelf.quota.TokenSource;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -51,6 +52,8 @@
     private final FleetMessenger messenger;
     private final MembershipExchange exchange;
     private final ServerReporting reporting;
+    private final Random random;
+    private Optional<QuotaExchange> quota = Optional.empty();
     private final ServersInForce servers = new ServersInForce();
     private final SnapshotSource snapshots;
     private final ConfigurationFetcher configurationFetcher;
@@ -82,6 +85,7 @@
         this.reader = reader;
         this.observations = observations;
         this.membership = membership;
+        this.random = random;
         schedule = new PlatformReadSchedule(random);
         this.metrics = metrics;
         this.log = log;
@@ -101,6 +105,11 @@
                 log);
     }
 
+    /** Exchanges tokens of tenants with a usage cap; to be called before the start. */
+    public void shareUsageCaps() {
+        quota = Optional.of(new QuotaExchange(loop, membership, messenger, exchange, this::catalog, random, metrics));
+    }
+
     /** Starts to read the platform and to exchange messages with peers. */
     public void start(InetSocketAddress address) {
         messenger.use(MeshSocket.open(loop, address, this::handle, log));
@@ -163,8 +172,14 @@
         return reporting;
     }
 
+    @Override
+    public Optional<TokenSource> tokens() {
+        return quota.map(source -> source);
+    }
+
     private void tick() {
         long now = now();
+        quota.ifPresent(QuotaExchange::tick);
         if (ticks > 0) {
             metrics.recordControlDelay(now - lastTickNanos - TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS));
         }
@@ -203,6 +218,7 @@
 
     private void handle(InetSocketAddress sender, MeshMessage message) {
         membership.recordContact(sender, now());
+        quota.ifPresent(tokens -> tokens.handle(sender, message));
         if (message instanceof MeshMessage.Members members) {
             exchange.apply(sender, members, now());
         } else if (message instanceof MeshMessage.ServerLeaving leaving) {
--- a/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
@@ -1,15 +1,18 @@
 package io.coppershelf.mesh;
 
 import io.coppershelf.dispatch.FleetPosition;
+import io.coppershelf.quota.FleetView;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -28,6 +31,8 @@
     static final long JOINING_NANOS = TimeUnit.SECONDS.toNanos(5);
     /** Size of the fleet that a VM assumes during this time; about the size of the larger deployments. */
     static final int ASSUMED_FLEET_SIZE = 100;
+    /** Time after its start in which a VM without contact to any other one assumes that it is cut off. */
+    private static final long ALONE_NANOS = TimeUnit.SECONDS.toNanos(60);
     /** Largest number of entries of other VMs in a message, so that it fits into one packet. */
     private static final int MAX_ENTRIES_PER_MESSAGE = 16;
 
@@ -43,6 +48,7 @@
     private final long startedNanos;
     private final int joiningRank;
     private final Map<InetSocketAddress, Member> members = new HashMap<>();
+    private final RecentVms recent;
     private long heartbeat;
     private boolean isLeaving;
     private int relayPort;
@@ -62,6 +68,7 @@
         this.seeds = seeds.stream().filter(seed -> !seed.equals(self)).toList();
         this.random = random;
         startedNanos = nowNanos;
+        recent = new RecentVms(nowNanos);
         joiningRank = random.nextInt(ASSUMED_FLEET_SIZE);
     }
 
@@ -123,6 +130,7 @@
             if (known == null || hasRestarted || entry.isNewerThan(known.entry)) {
                 hasNew |= known == null || known.isDown(nowNanos);
                 members.put(entry.address(), new Member(entry, nowNanos));
+                recent.record(entry, nowNanos);
             }
         }
         members.values().removeIf(member -> nowNanos - member.updatedAtNanos > REMOVAL_NANOS);
@@ -203,6 +211,27 @@
         return new FleetPosition(isJoining(nowNanos) ? joiningRank : rank, fleetSize(nowNanos));
     }
 
+    /**
+     * Returns the fleet as the usage caps of tenants need it. A VM that has just started may know a part of the fleet
+     * only, so it assumes a large one; while it knows no other VM, it may be cut off.
+     */
+    public FleetView quotaView(long nowNanos) {
+        Set<InetSocketAddress> live = new HashSet<>();
+        members.values().stream()
+                .filter(member -> !member.isDown(nowNanos) && !member.entry.isLeaving())
+                .forEach(member -> live.add(member.entry.address()));
+        int known = recent.count(live, nowNanos) + 1;
+        boolean isAlone = live.isEmpty() && !seeds.isEmpty() && known == 1;
+        if (isJoining(nowNanos) || (isAlone && ageNanos(nowNanos) < ALONE_NANOS)) {
+            known = seeds.isEmpty() && live.isEmpty() ? known : Math.max(known, ASSUMED_FLEET_SIZE);
+        }
+        if (!isLeaving || live.isEmpty()) {
+            live.add(self);
+        }
+        boolean isUncertain = isAlone && isJoining(nowNanos);
+        return new FleetView(self, live, isUncertain ? 0 : Math.min(1, live.size() / (double) known));
+    }
+
     private boolean isJoining(long nowNanos) {
         return nowNanos - startedNanos < JOINING_NANOS;
     }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MembershipExchange.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MembershipExchange.java
@@ -57,6 +57,11 @@
         }
     }
 
+    /** Requests the members that another VM knows. */
+    void requestMembers(InetSocketAddress receiver, long nowNanos) {
+        messenger.send(receiver, members(false, true, nowNanos));
+    }
+
     /** Announces to all VMs that this one accepts no new requests. */
     void leave(long nowNanos) {
         membership.leave();
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -5,6 +5,7 @@
 import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.peer.MessageFields;
 import io.coppershelf.poison.RequestFingerprint;
+import io.coppershelf.quota.QuotaMessage;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -25,6 +26,8 @@
     private static final int SERVER_LIMIT = 6;
     private static final int REQUEST_CRASHES = 7;
     private static final int REQUEST_CLEARED = 8;
+    private static final int TOKEN_REQUEST = 9;
+    private static final int TOKEN_GRANT = 10;
 
     private MeshCodec() {}
 
@@ -81,7 +84,9 @@
                     new MeshMessage.RequestCrashes(MessageFields.readList(unpacker, MeshCodec::readCrash));
                 case REQUEST_CLEARED ->
                     new MeshMessage.RequestCleared(MessageFields.readList(unpacker, MeshCodec::readFingerprint));
-                default -> throw new IOException("unknown message type " + type);
+                case TOKEN_REQUEST -> new MeshMessage.Tokens(TokenFields.readRequest(unpacker));
+                case TOKEN_GRANT -> new MeshMessage.Tokens(TokenFields.readGrant(unpacker));
+                default -> new MeshMessage.Unknown(type);
             };
         } catch (RuntimeException e) {
             throw new IOException("not a message of the mesh", e);
@@ -116,6 +121,10 @@
         } else if (message instanceof MeshMessage.RequestCleared cleared) {
             packer.packInt(REQUEST_CLEARED);
             MessageFields.writeList(packer, cleared.fingerprints(), MeshCodec::writeFingerprint);
+        } else if (message instanceof MeshMessage.Tokens tokens) {
+            writeTokens(packer, tokens.message());
+        } else if (message instanceof MeshMessage.Unknown unknown) {
+            packer.packInt(unknown.type());
         } else if (message instanceof MeshMessage.CatalogUpdate update) {
             packer.packInt(CATALOG_UPDATE);
             writeRevision(packer, update.since());
@@ -127,6 +136,16 @@
         }
     }
 
+    private static void writeTokens(MessagePacker packer, QuotaMessage message) throws IOException {
+        if (message instanceof QuotaMessage.Request request) {
+            packer.packInt(TOKEN_REQUEST);
+            TokenFields.writeRequest(packer, request);
+        } else if (message instanceof QuotaMessage.Grant grant) {
+            packer.packInt(TOKEN_GRANT);
+            TokenFields.writeGrant(packer, grant);
+        }
+    }
+
     private static void writeObservation(MessagePacker packer, MeshMessage.ServerObservation observed)
             throws IOException {
         packer.packString(observed.serverKey());
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -6,6 +6,7 @@
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.poison.RequestFingerprint;
+import io.coppershelf.quota.QuotaMessage;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -62,6 +63,16 @@
      */
     record ServerLimit(String serverKey, Optional<Double> perSecond) implements MeshMessage {}
 
+    /** A message about the tokens of a tenant; earlier builds ignore it. */
+    record Tokens(QuotaMessage message) implements MeshMessage {}
+
+    /**
+     * A message of a type that only newer builds know; it is ignored.
+     *
+     * @param type the number of the type
+     */
+    record Unknown(int type) implements MeshMessage {}
+
     /** Fingerprints of requests under which servers crashed, more specific ones first. */
     record RequestCrashes(List<RequestCrash> requests) implements MeshMessage {}
 
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMetrics.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMetrics.java
@@ -23,6 +23,7 @@
 
     private final Counter updates;
     private final Histogram controlDelay;
+    private final Counter tokenMessages;
 
     /** Registers the metrics. */
     public MeshMetrics(PrometheusRegistry registry) {
@@ -31,6 +32,10 @@
                 .help("Updates of the catalog received from other VMs by outcome")
                 .labelNames("outcome")
                 .register(registry);
+        tokenMessages = Counter.builder()
+                .name("coppershelf_token_messages_total")
+                .help("Messages about tokens of tenants sent to other VMs")
+                .register(registry);
         controlDelay = Histogram.builder()
                 .name("coppershelf_control_delay_seconds")
                 .help("Time by which a periodic action of the control thread started late")
@@ -43,6 +48,10 @@
         updates.labelValues(outcome.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    void recordTokenMessage() {
+        tokenMessages.inc();
+    }
+
     void recordControlDelay(long nanos) {
         controlDelay.observe(Math.max(0, nanos) / NANOS_PER_SECOND);
     }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -44,6 +44,7 @@
     private final CallerLimits limits;
     private final boolean isForRelays;
     private final RouteResolver routes;
+    private final UsageCapGate capGate;
     private final Deque<CallerRequest> queued = new ArrayDeque<>();
     private Optional<HttpRequest> head = Optional.empty();
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -68,6 +69,7 @@
         this.limits = limits;
         this.isForRelays = isForRelays;
         routes = new RouteResolver(context);
+        capGate = new UsageCapGate(context);
     }
 
     @Override
@@ -209,10 +211,14 @@
         if (resolved.isEmpty()) {
             return;
         }
+        capGate.admit(request, resolved.get(), sink, admitted -> start(request, resolved.get(), admitted));
+    }
+
+    private void start(CallerRequest request, ResolvedRequest resolved, AnswerSink sink) {
         RequestExecution next = new RequestExecution(
                 context,
-                resolved.get(),
-                context.roundRobin().next(resolved.get().route()),
+                resolved,
+                context.roundRobin().next(resolved.route()),
                 request,
                 routes.callerTimeout(request),
                 sink);
@@ -297,6 +303,7 @@
         isClosing = true;
         cancelHeadTimer();
         idleTimer.ifPresent(scheduled -> scheduled.cancel(false));
+        capGate.callerDisconnected();
         execution.ifPresent(RequestExecution::callerDisconnected);
         releaseBodies();
         execution = Optional.empty();
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ControlState.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ControlState.java
@@ -3,6 +3,7 @@
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.Catalog;
 import io.coppershelf.dispatch.FleetPosition;
+import io.coppershelf.quota.TokenSource;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.Set;
@@ -15,6 +16,9 @@
     /** Returns whether no configuration is known to be published that is newer than the one in force. */
     boolean isConfigurationCurrent();
 
+    /** Returns what provides tokens for requests of tenants with a usage cap, empty if caps are not in force. */
+    Optional<TokenSource> tokens();
+
     /** Returns the position of this VM among the live VMs. */
     FleetPosition fleetPosition();
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficMetrics.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficMetrics.java
@@ -15,6 +15,7 @@
     private final Counter attempts;
     private final Counter relays;
     private final Counter crashes;
+    private final Counter capRefusals;
     private final Histogram duration;
     private final AtomicInteger inFlight = new AtomicInteger();
 
@@ -38,6 +39,11 @@
                 .name("coppershelf_server_crashes_total")
                 .help("Crashes of backend servers while they ran a request of this VM, one for each such request")
                 .register(registry);
+        capRefusals = Counter.builder()
+                .name("coppershelf_usage_cap_refusals_total")
+                .help("Requests of tenants refused over the cap, or without an answer of a VM that grants tokens")
+                .labelNames("reason")
+                .register(registry);
         duration = Histogram.builder()
                 .name("coppershelf_request_duration_seconds")
                 .help("Time from the end of a request's head to its answer")
@@ -68,6 +74,10 @@
         relays.labelValues(outcome).inc();
     }
 
+    void recordCapRefusal(boolean isOverCap) {
+        capRefusals.labelValues(isOverCap ? "over-cap" : "no-answer").inc();
+    }
+
     void recordCrash() {
         crashes.inc();
     }
--- a/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MeshCodecTest.java
@@ -5,6 +5,7 @@
 
 import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.poison.RequestFingerprint;
+import io.coppershelf.quota.QuotaMessage;
 import io.coppershelf.testing.Catalogs;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -30,6 +31,8 @@
                 new MeshMessage.RequestCrashes(List.of(new MeshMessage.RequestCrash(
                         new RequestFingerprint(-5, 6), 2, List.of(8L), List.of(-4L, 7L), 200))),
                 new MeshMessage.RequestCleared(List.of(new RequestFingerprint(-5, 6))),
+                new MeshMessage.Tokens(new QuotaMessage.Request("t", 4, -7, 3, 2, 1)),
+                new MeshMessage.Tokens(new QuotaMessage.Grant("t", 4, 7, 0, 900)),
                 new MeshMessage.CatalogUpdate(
                         Catalogs.revision(1),
                         Catalogs.revision(2),
@@ -57,6 +60,14 @@
         }
     }
 
+    /** Guards against an error and a log line for each message that a newer build sends. */
+    @Test
+    void messagesOfUnknownTypesAreRead() throws IOException {
+        byte[] bytes = MeshCodec.encode(new MeshMessage.ServerLeaving("i-1@5"));
+        bytes[1] = 99;
+        assertThat(MeshCodec.decode(bytes)).isEqualTo(new MeshMessage.Unknown(99));
+    }
+
     @Test
     void otherVersionsAreRefused() {
         byte[] bytes = MeshCodec.encode(new MeshMessage.ServerLeaving("i-1@5"));
--- a/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
@@ -6,6 +6,7 @@
 import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.poison.CrashRecord;
 import io.coppershelf.poison.RequestFingerprint;
+import io.coppershelf.quota.TokenSource;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
@@ -17,6 +18,7 @@
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile boolean isStopping;
     private volatile boolean isConfigurationCurrent = true;
+    private volatile Optional<TokenSource> tokens = Optional.empty();
     private volatile List<InetSocketAddress> relays = List.of();
     private final List<Boolean> reachable = new CopyOnWriteArrayList<>();
     private final List<String> leaving = new CopyOnWriteArrayList<>();
@@ -60,6 +62,16 @@
         return isConfigurationCurrent;
     }
 
+    /** Puts usage caps in force. */
+    void use(TokenSource source) {
+        tokens = Optional.of(source);
+    }
+
+    @Override
+    public Optional<TokenSource> tokens() {
+        return tokens;
+    }
+
     @Override
     public FleetPosition fleetPosition() {
         return new FleetPosition(0, 1);
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -8,6 +8,7 @@
 import io.coppershelf.catalog.Route;
 import io.coppershelf.catalog.RouteTable;
 import io.coppershelf.catalog.ServerList;
+import io.coppershelf.catalog.TenantTable;
 import io.coppershelf.catalog.WeightedService;
 import io.coppershelf.dispatch.FleetLoad;
 import io.coppershelf.dispatch.FleetRetryBudget;
@@ -57,6 +58,7 @@
     private final InetSocketAddress address;
     private final InetSocketAddress relayAddress;
     private final TrafficServer server;
+    private Optional<TenantTable> tenants = Optional.empty();
 
     ProxyFixture() {
         address = FreePorts.address();
@@ -77,6 +79,11 @@
         server.listen(address, Optional.of(relayAddress));
     }
 
+    /** Identifies callers by API keys; to be called before the servers are set. */
+    void tenants(TenantTable table) {
+        tenants = Optional.of(table);
+    }
+
     /** Routes all requests to the servers. */
     void serve(FakeBackendServer... servers) {
         servePorts(Arrays.stream(servers).mapToInt(FakeBackendServer::port).toArray());
@@ -96,7 +103,8 @@
                 route("/large/", RequestKind.LARGE_ANSWER)));
         CallerLimits limits =
                 new CallerLimits(MAX_HEAD_BYTES, MAX_BODY_BYTES, Duration.ofMillis(500), Duration.ofMillis(700));
-        FleetConfiguration configuration = new FleetConfiguration(1, routes, Map.of("ledger", MAX_CONNECTIONS), limits);
+        FleetConfiguration configuration =
+                new FleetConfiguration(1, routes, Map.of("ledger", MAX_CONNECTIONS), limits, tenants);
         state.use(new Catalog(Optional.of(configuration), ServerList.of(Catalogs.revision(1), list)));
     }
 
