--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -5,6 +5,7 @@
 import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.peer.MessageFields;
 import io.coppershelf.poison.RequestFingerprint;
+import io.coppershelf.quota.QuotaMessage;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -27,6 +28,8 @@
     private static final int REQUEST_CRASHES = 7;
     private static final int REQUEST_CLEARED = 8;
     private static final int SUMMARY_REQUEST = 11;
+    private static final int TOKEN_REQUEST = 9;
+    private static final int TOKEN_GRANT = 10;
 
     private MeshCodec() {}
 
@@ -86,6 +89,8 @@
                 case REQUEST_CLEARED ->
                     new MeshMessage.RequestCleared(MessageFields.readList(unpacker, MeshCodec::readFingerprint));
                 case SUMMARY_REQUEST -> new MeshMessage.SummaryRequest();
+                case TOKEN_REQUEST -> new MeshMessage.Tokens(TokenFields.readRequest(unpacker));
+                case TOKEN_GRANT -> new MeshMessage.Tokens(TokenFields.readGrant(unpacker));
                 default -> new MeshMessage.Unknown(type);
             };
         } catch (RuntimeException e) {
@@ -123,6 +128,10 @@
             MessageFields.writeList(packer, cleared.fingerprints(), MeshCodec::writeFingerprint);
         } else if (message instanceof MeshMessage.SummaryRequest) {
             packer.packInt(SUMMARY_REQUEST);
+        } else if (message instanceof MeshMessage.Tokens tokens) {
+            writeTokens(packer, tokens.message());
+        } else if (message instanceof MeshMessage.Unknown unknown) {
+            packer.packInt(unknown.type());
         } else if (message instanceof MeshMessage.CatalogUpdate update) {
             packer.packInt(CATALOG_UPDATE);
             writeRevision(packer, update.since());
@@ -134,6 +143,16 @@
         }
     }
 
+    private static void writeTokens(MessagePacker packer, QuotaMessage message) throws IOException {
+        if (message instanceof QuotaMessage.Request request) {
+            packer.packInt(TOKEN_REQUEST);
+            TokenFields.writeRequest(packer, request);
+        } else if (message instanceof QuotaMessage.Grant grant) {
+            packer.packInt(TOKEN_GRANT);
+            TokenFields.writeGrant(packer, grant);
+        }
+    }
+
     private static void writeObservation(MessagePacker packer, MeshMessage.ServerObservation observed)
             throws IOException {
         packer.packString(observed.serverKey());
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMessage.java
@@ -6,6 +6,7 @@
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.poison.RequestFingerprint;
+import io.coppershelf.quota.QuotaMessage;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -69,6 +70,9 @@
      */
     record ServerLimit(String serverKey, Optional<Double> perSecond) implements MeshMessage {}
 
+    /** A message about the tokens of a tenant; earlier builds ignore it. */
+    record Tokens(QuotaMessage message) implements MeshMessage {}
+
     /** Fingerprints of requests under which servers crashed, more specific ones first. */
     record RequestCrashes(List<RequestCrash> requests) implements MeshMessage {}
 
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMetrics.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMetrics.java
@@ -24,6 +24,7 @@
     private final Counter updates;
     private final Counter ignored;
     private final Histogram controlDelay;
+    private final Counter tokenMessages;
 
     /** Registers the metrics. */
     public MeshMetrics(PrometheusRegistry registry) {
@@ -37,6 +38,10 @@
                 .name("coppershelf_mesh_messages_ignored_total")
                 .help("Messages of other VMs of a type that only later builds know")
                 .register(registry);
+        tokenMessages = Counter.builder()
+                .name("coppershelf_token_messages_total")
+                .help("Messages about tokens of tenants sent to other VMs")
+                .register(registry);
         controlDelay = Histogram.builder()
                 .name("coppershelf_control_delay_seconds")
                 .help("Time by which a periodic action of the control thread started late")
@@ -54,6 +59,10 @@
         ignored.inc();
     }
 
+    void recordTokenMessage() {
+        tokenMessages.inc();
+    }
+
     void recordControlDelay(long nanos) {
         controlDelay.observe(Math.max(0, nanos) / NANOS_PER_SECOND);
     }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ControlState.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ControlState.java
@@ -3,6 +3,7 @@
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.Catalog;
 import io.coppershelf.dispatch.FleetPosition;
+import io.coppershelf.quota.TokenSource;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.Set;
@@ -21,6 +22,9 @@
      */
     boolean isConfigurationSufficient();
 
+    /** Returns what provides tokens for requests of tenants with a usage cap, empty if caps are not in force. */
+    Optional<TokenSource> tokens();
+
     /** Returns the position of this VM among the live VMs. */
     FleetPosition fleetPosition();
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficMetrics.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficMetrics.java
@@ -15,6 +15,7 @@
     private final Counter attempts;
     private final Counter relays;
     private final Counter crashes;
+    private final Counter capRefusals;
     private final Histogram duration;
     private final AtomicInteger inFlight = new AtomicInteger();
 
@@ -42,6 +43,11 @@
                 .help("Crashes of backend servers while they ran a request of this VM, one for each such request")
                 .withoutExemplars()
                 .register(registry);
+        capRefusals = Counter.builder()
+                .name("coppershelf_usage_cap_refusals_total")
+                .help("Requests of tenants refused over the cap, or without an answer of a VM that grants tokens")
+                .labelNames("reason")
+                .register(registry);
         duration = Histogram.builder()
                 .name("coppershelf_request_duration_seconds")
                 .help("Time from the end of a request's head to its answer")
@@ -73,6 +79,10 @@
         relays.labelValues(outcome).inc();
     }
 
+    void recordCapRefusal(boolean isOverCap) {
+        capRefusals.labelValues(isOverCap ? "over-cap" : "no-answer").inc();
+    }
+
     void recordCrash() {
         crashes.inc();
     }
--- a/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/FakeControlState.java
@@ -6,6 +6,7 @@
 import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.poison.CrashRecord;
 import io.coppershelf.poison.RequestFingerprint;
+import io.coppershelf.quota.TokenSource;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
@@ -18,6 +19,7 @@
     private volatile boolean isStopping;
     private volatile boolean isConfigurationCurrent = true;
     private volatile boolean isConfigurationSufficient = true;
+    private volatile Optional<TokenSource> tokens = Optional.empty();
     private volatile List<InetSocketAddress> relays = List.of();
     private final List<Boolean> reachable = new CopyOnWriteArrayList<>();
     private final List<String> leaving = new CopyOnWriteArrayList<>();
@@ -72,6 +74,16 @@
         return isConfigurationSufficient;
     }
 
+    /** Puts usage caps in force. */
+    void use(TokenSource source) {
+        tokens = Optional.of(source);
+    }
+
+    @Override
+    public Optional<TokenSource> tokens() {
+        return tokens;
+    }
+
     @Override
     public FleetPosition fleetPosition() {
         return new FleetPosition(0, 1);
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -61,6 +61,7 @@
     private final InetSocketAddress address;
     private final InetSocketAddress relayAddress;
     private final TrafficServer server;
+    private Optional<TenantTable> tenants = Optional.empty();
 
     ProxyFixture() {
         this(false);
@@ -91,6 +92,11 @@
         server.listen(address, Optional.of(relayAddress));
     }
 
+    /** Identifies callers by API keys; to be called before the servers are set. */
+    void tenants(TenantTable table) {
+        tenants = Optional.of(table);
+    }
+
     /** Routes all requests to the servers. */
     void serve(FakeBackendServer... servers) {
         servePorts(Arrays.stream(servers).mapToInt(FakeBackendServer::port).toArray());
