--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -109,19 +109,19 @@
                 route("/patient/", RequestKind.ONCE, Duration.ofMinutes(1)),
                 route("/safe/", RequestKind.REPEATABLE),
                 route("/large/", RequestKind.LARGE_ANSWER)));
-        serve(routes, MAX_HEAD_BYTES, Optional.empty(), ports);
+        serve(routes, MAX_HEAD_BYTES, tenants, ports);
     }
 
     /** Routes requests with the keys of the tenants to the servers, and those of one route without a key. */
-    void serveTenants(TenantTable tenants, int... ports) {
+    void serveTenants(TenantTable table, int... ports) {
         RouteTable routes = RouteTable.of(List.of(
                 route("/once/", RequestKind.ONCE),
                 route("/safe/", RequestKind.REPEATABLE),
                 route("/public/", RequestKind.ONCE).asPublic()));
-        serve(routes, MAX_TENANT_HEAD_BYTES, Optional.of(tenants), ports);
+        serve(routes, MAX_TENANT_HEAD_BYTES, Optional.of(table), ports);
     }
 
-    private void serve(RouteTable routes, int headBytes, Optional<TenantTable> tenants, int... ports) {
+    private void serve(RouteTable routes, int headBytes, Optional<TenantTable> table, int... ports) {
         List<BackendServer> list = new ArrayList<>();
         for (int port : ports) {
             list.add(new BackendServer(
@@ -130,7 +130,7 @@
         CallerLimits limits =
                 new CallerLimits(headBytes, MAX_BODY_BYTES, Duration.ofMillis(500), Duration.ofMillis(700));
         FleetConfiguration configuration =
-                new FleetConfiguration(1, routes, Map.of("ledger", MAX_CONNECTIONS), limits, tenants);
+                new FleetConfiguration(1, routes, Map.of("ledger", MAX_CONNECTIONS), limits, table);
         state.use(new Catalog(Optional.of(configuration), ServerList.of(Catalogs.revision(1), list)));
     }
 
