--- a/coppershelf/src/test/java/io/coppershelf/catalog/TenantTableTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/catalog/TenantTableTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.coppershelf.testing.Catalogs;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -62,6 +63,15 @@
                 IllegalArgumentException.class, () -> TenantTable.of(Map.of(FIRST, List.of("a"), other, List.of("b"))));
     }
 
+    /** Guards against urgent tenants that wait behind others on a route for everybody. */
+    @Test
+    void urgencyOfTheTenantTakesPrecedenceOverThatOfTheRoute() {
+        Route route = Catalogs.route(RequestKind.ONCE);
+        assertThat(new Tenant("urgent", Optional.of(0), Optional.empty()).rankOn(route))
+                .isEqualTo(0);
+        assertThat(FIRST.rankOn(route)).isEqualTo(route.rank());
+    }
+
     /** Guards against limits on the number or the length of keys. */
     @Test
     void thousandsOfKeysAndAKeyOfFourKilobytesAreFound() {
