--- a/coppershelf/src/main/java/io/coppershelf/quota/Borrower.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/Borrower.java
@@ -67,6 +67,14 @@
         proceed(tenant, nowNanos, actions);
     }
 
+    /**
+     * Forgets denials: a VM that has just started issues hardly any tokens and denies them to itself for seconds, but
+     * asks other granters as soon as it knows them.
+     */
+    void viewChanged() {
+        tenants.values().forEach(BorrowerTenant::clearDenials);
+    }
+
     /** Forgets a request whose caller has left. */
     void cancel(String name, long requestNumber) {
         Optional.ofNullable(tenants.get(name))
--- a/coppershelf/src/main/java/io/coppershelf/quota/QuotaNode.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/QuotaNode.java
@@ -47,6 +47,9 @@
         orders.use(view);
         earlierBuilds.retain(view.live());
         granter.viewChanged(isLiveChanged, nowNanos);
+        if (isLiveChanged) {
+            borrower.viewChanged();
+        }
     }
 
     /** Requests a token for a request; its number comes back in the action that admits or refuses it. */
