Allocate the retry budget of a service by cost

While 65 of 74 servers refused 55% of the requests, the retries of the most common kind had spent the budget when a request of higher priority needed one: the budget was granted in order of arrival. Once less than half of a VM's share is left, retries now give way to those of higher priority, and within a priority those whose caller can come back in time give way to those whose caller can't. The bound of the fleet is the same, and requests of one priority share it in order of arrival.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/AttemptAllocator.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/AttemptAllocator.java
@@ -47,6 +47,10 @@
     /** Returns whether the retry budget of the service has a retry left. */
     boolean canRetry();
 
-    /** Acquires one retry from the retry budget of the service; returns whether any was left. */
-    boolean tryAcquireRetry();
+    /**
+     * Acquires one retry from the retry budget of the service; returns whether any was left for this request.
+     *
+     * @param isProvedNotRun whether the request has not run, so that its caller may send it again by itself
+     */
+    boolean tryAcquireRetry(boolean isProvedNotRun);
 }
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/FleetRetryBudget.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/FleetRetryBudget.java
@@ -69,9 +69,17 @@
      * @param fleetSize the number of VMs that serve callers
      */
     public boolean canAcquire(String service, int fleetSize, long nowNanos) {
-        Usage usage = usage(service, nowNanos);
-        double limit = USED_SHARE * (ratio * sum(usage.requests) + fixedPerWindow / Math.max(1, fleetSize));
-        return sum(usage.retries) + 1 <= limit;
+        return spent(service, nowNanos) + 1 <= limit(service, fleetSize, nowNanos);
+    }
+
+    /** Returns the number of retries that this VM may grant in a window. */
+    double limit(String service, int fleetSize, long nowNanos) {
+        return USED_SHARE * (ratio * sum(usage(service, nowNanos).requests) + fixedPerWindow / Math.max(1, fleetSize));
+    }
+
+    /** Returns the number of retries that this VM granted in the last window. */
+    int spent(String service, long nowNanos) {
+        return sum(usage(service, nowNanos).retries);
     }
 
     private Usage usage(String service, long nowNanos) {
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
@@ -227,7 +227,7 @@
             }
         }
         Optional<BackendServer> server = allocator.choose(usedServers, isLastAttempt(reached));
-        if (server.isEmpty() || (reached > 0 && !allocator.tryAcquireRetry())) {
+        if (server.isEmpty() || (reached > 0 && !allocator.tryAcquireRetry(isProvedNotRun()))) {
             return Optional.empty();
         }
         usedServers.add(server.get().id());
@@ -240,7 +240,7 @@
             return Optional.empty();
         }
         Optional<InetSocketAddress> vm = allocator.relay(usedVms);
-        if (vm.isEmpty() || (reached > 0 && !allocator.tryAcquireRetry())) {
+        if (vm.isEmpty() || (reached > 0 && !allocator.tryAcquireRetry(isProvedNotRun()))) {
             return Optional.empty();
         }
         usedVms.add(vm.get());
@@ -252,6 +252,11 @@
         return Optional.of(new PlanStep.Relay(attempts.size() - 1, vm.get(), attempt.servers));
     }
 
+    private boolean isProvedNotRun() {
+        return attempts.stream()
+                .allMatch(attempt -> attempt.state == AttemptState.NOT_SENT || attempt.state == AttemptState.NOT_RUN);
+    }
+
     private int connectionFailures() {
         return (int) attempts.stream()
                 .filter(attempt -> attempt.state == AttemptState.NOT_SENT && !attempt.isRelay)
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/TypicalLatency.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/TypicalLatency.java
@@ -33,6 +33,11 @@
         deviationNanos += weight * (Math.abs(difference) - deviationNanos);
     }
 
+    /** Returns the typical latency; until it is known, the given one. */
+    public long typicalNanos(Duration otherwise) {
+        return samples < WARM_UP_SAMPLES ? otherwise.toNanos() : (long) meanNanos;
+    }
+
     /** Returns the time after which an answer is slow for the route. */
     public long slowNanos(Duration objective) {
         double minNanos = MIN_SLOW_SHARE * objective.toNanos();
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -5,6 +5,7 @@
 import io.coppershelf.dispatch.AttemptAllocator;
 import io.coppershelf.dispatch.PlanStep;
 import io.coppershelf.dispatch.RequestPlan;
+import io.coppershelf.dispatch.RetryCost;
 import io.coppershelf.dispatch.TypicalLatency;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -23,6 +24,7 @@
     private static final int FIRST_SERVER_ERROR = 500;
     private final TrafficContext context;
     private final Route route;
+    private final int rank;
     private final String service;
     private final CallerRequest request;
     private final AnswerSink sink;
@@ -47,6 +49,7 @@
             AnswerSink sink) {
         this.context = context;
         route = resolved.route();
+        rank = resolved.rank();
         this.service = service;
         this.request = request;
         this.sink = sink;
@@ -71,7 +74,7 @@
         isCounted = !isCutOff() && isFirstToSend();
         if (isCounted) {
             // Else the VM that the request is handed to counts it, or the one that sent it to a server before.
-            context.budget().countRequest(service, now);
+            context.budget().countRequest(service, rank, now);
         }
         execute(plan.start(now));
     }
@@ -148,13 +151,20 @@
     @Override
     public boolean canRetry() {
         return context.budget()
-                .canAcquire(service, context.state().fleetPosition().size(), System.nanoTime());
+                .canAcquire(
+                        service,
+                        new RetryCost(rank, false),
+                        context.state().fleetPosition().size(),
+                        System.nanoTime());
     }
 
     @Override
-    public boolean tryAcquireRetry() {
+    public boolean tryAcquireRetry(boolean isProvedNotRun) {
+        long now = System.nanoTime();
+        RetryCost cost =
+                RetryCost.of(rank, isProvedNotRun, deadlineNanos - now, latency.typicalNanos(route.objective()));
         return context.budget()
-                .tryAcquire(service, context.state().fleetPosition().size(), System.nanoTime());
+                .tryAcquire(service, cost, context.state().fleetPosition().size(), now);
     }
 
     @Override
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
@@ -1,7 +1,7 @@
 package io.coppershelf.proxy;
 
-import io.coppershelf.dispatch.FleetRetryBudget;
 import io.coppershelf.dispatch.ReachableChooser;
+import io.coppershelf.dispatch.RetryAllocation;
 import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.dispatch.ServerReachability;
 import io.coppershelf.dispatch.TypicalLatency;
@@ -27,7 +27,7 @@
         ControlState state,
         ServerChooser chooser,
         ReachableChooser reachableChooser,
-        FleetRetryBudget budget,
+        RetryAllocation budget,
         WeightedRoundRobin roundRobin,
         ServerConnectionPool pool,
         ServerConnectionPool relayPool,
@@ -45,7 +45,7 @@
             ControlState state,
             ServerChooser chooser,
             ReachableChooser reachableChooser,
-            FleetRetryBudget budget,
+            RetryAllocation budget,
             WeightedRoundRobin roundRobin,
             ServerConnectionPool pool,
             ServerConnectionPool relayPool,
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -7,6 +7,7 @@
 import io.coppershelf.dispatch.FleetRetryBudget;
 import io.coppershelf.dispatch.IdleServerTracker;
 import io.coppershelf.dispatch.ReachableChooser;
+import io.coppershelf.dispatch.RetryAllocation;
 import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.dispatch.ServerLimits;
 import io.coppershelf.dispatch.ServerPaths;
@@ -108,7 +109,7 @@
                 state,
                 chooser,
                 new ReachableChooser(chooser, paths),
-                budget,
+                new RetryAllocation(budget),
                 new WeightedRoundRobin(random),
                 pool,
                 new ServerConnectionPool(connector, Optional.empty()),
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
@@ -372,7 +372,7 @@
         }
 
         @Override
-        public boolean tryAcquireRetry() {
+        public boolean tryAcquireRetry(boolean isProvedNotRun) {
             return hasBudget;
         }
     }
