--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerPaths.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerPaths.java
@@ -132,6 +132,13 @@
         });
     }
 
+    /** Removes what is known of a server that is no longer registered. */
+    public void forget(BackendServer server) {
+        if (path(server) != null) {
+            troubled.remove(server.id());
+        }
+    }
+
     /** Removes what is known of servers that are no longer registered. */
     public void retain(ServerList servers) {
         troubled.values().removeIf(path -> !isRegistered(servers, path.server));
--- a/coppershelf/src/main/java/io/coppershelf/proxy/PathObserver.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/PathObserver.java
@@ -7,6 +7,7 @@
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 
 /** Records the outcomes of new connections to servers. Runs on the traffic thread. */
@@ -43,11 +44,16 @@
     @Override
     public Collection<BackendServer> failed(BackendServer server) {
         // A path that is known or suspected to be down shows nothing new of the paths to other servers, and its checks
-        // fail in a row although servers on other paths are reached.
-        if (paths.isClear(server) || reachability.isChecking(server.id())) {
+        // fail in a row although servers on other paths are reached. A server that was replaced has ended.
+        boolean isRegistered = isRegistered(server);
+        if ((isRegistered && paths.isClear(server)) || reachability.isChecking(server.id())) {
             reachability.connectFailed(
                     server.id(), state.catalog().servers().all().size());
         }
+        if (!isRegistered) {
+            paths.forget(server);
+            return List.of();
+        }
         boolean isNew = !paths.isUnreachable(server);
         Collection<BackendServer> doubtful = paths.connectFailed(server, this::acceptingServers, System.nanoTime());
         if (isNew) {
@@ -56,6 +62,14 @@
         return doubtful;
     }
 
+    private boolean isRegistered(BackendServer server) {
+        return state.catalog()
+                .servers()
+                .server(server.id())
+                .filter(known -> known.isSameIncarnation(server))
+                .isPresent();
+    }
+
     private Collection<BackendServer> acceptingServers() {
         return state.catalog().servers().all().stream()
                 .filter(BackendServer::isAccepting)
