--- a/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RequestPlanTest.java
@@ -2,19 +2,15 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.RequestKind;
 import io.coppershelf.outcome.ErrorKind;
 import io.coppershelf.outcome.Outcome;
 import io.coppershelf.testing.Catalogs;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.Arrays;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -316,64 +312,4 @@
         assertThat(steps.get(0)).isInstanceOf(PlanStep.Fail.class);
         return (PlanStep.Fail) steps.get(0);
     }
-
-    private static final class FakeAllocator implements AttemptAllocator {
-        private final Deque<BackendServer> servers = new ArrayDeque<>();
-        private boolean hasBudget = true;
-        private Optional<Duration> pause = Optional.empty();
-        private Optional<Duration> quarantine = Optional.empty();
-        private boolean isCutOff;
-        private boolean isOutOfReach;
-        private List<InetSocketAddress> vms = List.of();
-        private boolean isLastAttempt;
-
-        FakeAllocator(String... ids) {
-            for (String id : ids) {
-                servers.add(Catalogs.server(id, "here"));
-            }
-        }
-
-        @Override
-        public Optional<BackendServer> choose(Set<String> excluded, boolean lastAttempt) {
-            isLastAttempt = lastAttempt;
-            return servers.stream()
-                    .filter(server -> !excluded.contains(server.id()))
-                    .findFirst();
-        }
-
-        @Override
-        public Optional<Duration> pause() {
-            return pause;
-        }
-
-        @Override
-        public Optional<Duration> quarantine() {
-            return quarantine;
-        }
-
-        @Override
-        public boolean isCutOff() {
-            return isCutOff;
-        }
-
-        @Override
-        public boolean isOutOfReach(Set<String> excluded) {
-            return isOutOfReach;
-        }
-
-        @Override
-        public Optional<InetSocketAddress> relay(Set<InetSocketAddress> excluded) {
-            return vms.stream().filter(vm -> !excluded.contains(vm)).findFirst();
-        }
-
-        @Override
-        public boolean canRetry() {
-            return hasBudget;
-        }
-
-        @Override
-        public boolean tryAcquireRetry(boolean isProvedNotRun) {
-            return hasBudget;
-        }
-    }
 }
