Learn the least time of a route from its fastest answers

A VM that had learned the time of a route while queues were long refused its requests as too late after the queues were gone, and learned nothing better, since none was answered any more: after an outage three VMs in the load test refused six requests while servers were idle. The least time now falls fast and rises slowly, and counts from the eighth answer on.

--- a/coppershelf/src/main/java/io/coppershelf/overload/LearnedWork.java
+++ b/coppershelf/src/main/java/io/coppershelf/overload/LearnedWork.java
@@ -2,12 +2,20 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 
 /** The typical time that requests of each route occupy a slot of the service, in nanoseconds. Not thread-safe. */
 final class LearnedWork {
     /** Weight of a new answer; the averages cover about the last twenty. */
     private static final double SAMPLE_WEIGHT = 0.05;
+    /**
+     * Weights of shorter and longer answers in the least time. Answers in a time of long queues must not raise it much:
+     * a VM that refuses all requests of a route as too late would not learn that they have become faster.
+     */
+    private static final double FALL_WEIGHT = 0.3;
+
+    private static final double RISE_WEIGHT = 0.01;
+    /** Answers from which the least time is used; fewer may all come from a time of long queues. */
+    private static final int MIN_SAMPLES = 8;
     /** Largest number of routes; beyond it all are learned anew. */
     private static final int MAX_ROUTES = 4096;
     /** Work of a request of which nothing is known, 0.3 s. */
@@ -27,12 +35,14 @@
 
     /** Returns the typical work of a request of the route. */
     double of(String route) {
-        return known(route).orElse(ofAll());
+        Mean known = byRoute.get(route);
+        return known == null ? ofAll() : known.nanos;
     }
 
-    /** Returns the typical work of a request of the route, empty if none was answered yet. */
-    Optional<Double> known(String route) {
-        return Optional.ofNullable(byRoute.get(route)).map(mean -> mean.nanos);
+    /** Returns the time within which few requests of the route are answered, 0 if too few were answered yet. */
+    double leastOf(String route) {
+        Mean known = byRoute.get(route);
+        return known == null || known.samples < MIN_SAMPLES ? 0 : known.leastNanos;
     }
 
     /** Returns the typical work of the requests of all routes. */
@@ -42,10 +52,14 @@
 
     private static final class Mean {
         private double nanos;
+        private double leastNanos;
         private int samples;
 
         void add(double sample) {
             samples++;
+            leastNanos = samples == 1
+                    ? sample
+                    : leastNanos + (sample < leastNanos ? FALL_WEIGHT : RISE_WEIGHT) * (sample - leastNanos);
             nanos += Math.max(SAMPLE_WEIGHT, 1.0 / samples) * (sample - nanos);
         }
     }
--- a/coppershelf/src/main/java/io/coppershelf/overload/ServiceAdmission.java
+++ b/coppershelf/src/main/java/io/coppershelf/overload/ServiceAdmission.java
@@ -19,8 +19,6 @@
     private static final double SHARE_WEIGHT = 0.02;
     /** Largest effect of the work on the order among requests of one rank. */
     private static final double MAX_WORK_RATIO = 4;
-    /** Share of the typical work within which few requests are answered. */
-    private static final double LEAST_WORK = 0.8;
     /** Largest number of series of positions; beyond it all start anew. */
     private static final int MAX_SERIES = 8192;
     /** The fractional part of the golden ratio: its multiples are spread evenly at any length. */
@@ -132,8 +130,8 @@
     }
 
     private boolean isTooLate(AdmissionRequest request) {
-        double leastNanos = work.known(request.route()).orElse(0.0) * LEAST_WORK;
-        return request.remainingNanos() < threshold.queuedRounds() * work.ofAll() + leastNanos;
+        double waitNanos = threshold.queuedRounds() * work.ofAll();
+        return request.remainingNanos() < waitNanos + work.leastOf(request.route());
     }
 
     /**
--- a/coppershelf/src/test/java/io/coppershelf/overload/ServiceAdmissionTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/overload/ServiceAdmissionTest.java
@@ -39,7 +39,9 @@
     /** Guards against requests that wait in the queue of a server although they can't be answered in time. */
     @Test
     void requestThatCannotMeetItsDeadlineIsRefused() {
-        admission.recordAnswer("route", 300 * MILLI);
+        for (int i = 0; i < 10; i++) {
+            admission.recordAnswer("route", 300 * MILLI);
+        }
         load(1.5, 100);
         assertThat(refused(0, 200 * MILLI)).isEqualTo(100);
         assertThat(refused(0, PATIENT)).isEqualTo(0);
