Serve tenants while granters are silent, and bound the messages

With a third of the VMs on the earlier build tenants were refused 2.8% of 48 s (300 VMs): a successor took the place of an old granter only after it was asked many times. It now asks such VMs by itself, and borrowers leave them out. Tenants have more and smaller granters (3 to 16), and three successors share the reserve. A restarted VM is asked again at once.

--- a/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
@@ -7,12 +7,10 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -31,6 +29,11 @@
     static final long JOINING_NANOS = TimeUnit.SECONDS.toNanos(5);
     /** Size of the fleet that a VM assumes during this time; about the size of the larger deployments. */
     static final int ASSUMED_FLEET_SIZE = 100;
+    /**
+     * Time after its start in which a VM may know a part of the fleet only. Shorter than {@link #JOINING_NANOS}: the
+     * first VM that answers sends all that it knows, and tenants wait for the tokens of restarted VMs.
+     */
+    private static final long PARTIAL_NANOS = TimeUnit.SECONDS.toNanos(1);
     /** Time after its start in which a VM without contact to any other one assumes that it is cut off. */
     private static final long ALONE_NANOS = TimeUnit.SECONDS.toNanos(60);
     /** Largest number of entries of other VMs in a message, so that it fits into one packet. */
@@ -216,17 +219,18 @@
      * only, so it assumes a large one; while it knows no other VM, it may be cut off.
      */
     public FleetView quotaView(long nowNanos) {
-        Set<InetSocketAddress> live = new HashSet<>();
+        Map<InetSocketAddress, Long> live = new HashMap<>();
         members.values().stream()
                 .filter(member -> !member.isDown(nowNanos) && !member.entry.isLeaving())
-                .forEach(member -> live.add(member.entry.address()));
-        int known = recent.count(live, nowNanos) + 1;
+                .forEach(member -> live.put(member.entry.address(), member.entry.incarnation()));
+        int known = recent.count(live.keySet(), nowNanos) + 1;
         boolean isAlone = live.isEmpty() && !seeds.isEmpty() && known == 1;
-        if (isJoining(nowNanos) || (isAlone && ageNanos(nowNanos) < ALONE_NANOS)) {
+        boolean isPartial = ageNanos(nowNanos) < PARTIAL_NANOS;
+        if (isPartial || (isAlone && ageNanos(nowNanos) < ALONE_NANOS)) {
             known = seeds.isEmpty() && live.isEmpty() ? known : Math.max(known, ASSUMED_FLEET_SIZE);
         }
         if (!isLeaving || live.isEmpty()) {
-            live.add(self);
+            live.put(self, incarnation);
         }
         boolean isUncertain = isAlone && isJoining(nowNanos);
         return new FleetView(self, live, isUncertain ? 0 : Math.min(1, live.size() / (double) known));
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -207,11 +207,9 @@
         CallerRequest request = queued.remove();
         channel.config().setAutoRead(!isReadingStopped);
         CallerSink sink = sink(request);
-        Optional<ResolvedRequest> resolved = routes.resolve(request, sink);
-        if (resolved.isEmpty()) {
-            return;
-        }
-        capGate.admit(request, resolved.get(), sink, admitted -> start(request, resolved.get(), admitted));
+        routes.resolve(request, sink)
+                .ifPresent(resolved ->
+                        capGate.admit(request, resolved, sink, admitted -> start(request, resolved, admitted)));
     }
 
     private void start(CallerRequest request, ResolvedRequest resolved, AnswerSink sink) {
--- a/coppershelf/src/main/java/io/coppershelf/quota/Borrower.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/Borrower.java
@@ -40,16 +40,18 @@
     private final TenantOrders orders;
     private final Random random;
     private final SilentVms silent;
+    private final EarlierBuilds earlierBuilds;
     private final Map<String, BorrowerTenant> tenants = new HashMap<>();
     /** The tenants with requests that wait or messages without an answer. */
     private final Set<BorrowerTenant> pending = new LinkedHashSet<>();
 
     private long lastNumber;
 
-    Borrower(TenantCaps caps, TenantOrders orders, SilentVms silent, Random random) {
+    Borrower(TenantCaps caps, TenantOrders orders, SilentVms silent, EarlierBuilds earlierBuilds, Random random) {
         this.caps = caps;
         this.orders = orders;
         this.silent = silent;
+        this.earlierBuilds = earlierBuilds;
         this.random = random;
         lastNumber = random.nextInt();
     }
@@ -67,12 +69,6 @@
         proceed(tenant, nowNanos, actions);
     }
 
-    /** Forgets a request whose caller has left. */
-    void cancel(String name, long requestNumber) {
-        Optional.ofNullable(tenants.get(name))
-                .ifPresent(tenant -> tenant.waiting.removeIf(waiting -> waiting.requestNumber() == requestNumber));
-    }
-
     /** Puts the token of a request back that did not run. */
     void giveBack(Token token, long nowNanos) {
         tenants.computeIfAbsent(token.tenant(), key -> new BorrowerTenant(key, nowNanos))
@@ -129,11 +125,16 @@
     private void tick(
             BorrowerTenant tenant, BorrowerTenant.Exchange exchange, long nowNanos, Consumer<QuotaAction> actions) {
         long age = nowNanos - exchange.sentNanos();
-        if (age >= NEXT_GRANTER_NANOS) {
+        boolean isSilent = age >= NEXT_GRANTER_NANOS;
+        if (isSilent) {
             silent.recordSilence(exchange.granter(), nowNanos);
+            earlierBuilds.suspect(exchange.granter(), nowNanos);
+        }
+        // A request of another tenant may have found that the granter is silent.
+        if (isSilent || silent.isSkipped(exchange.granter(), nowNanos)) {
             tenant.isGranterMissing = true;
             tenant.exchange = Optional.empty();
-        } else if (age >= REPEAT_NANOS && !exchange.isRepeated()) {
+        } else if (age >= REPEAT_NANOS && !exchange.isRepeated() && !silent.isCutOff()) {
             tenant.exchange = Optional.of(
                     new BorrowerTenant.Exchange(exchange.granter(), exchange.request(), exchange.sentNanos(), true));
             actions.accept(new QuotaAction.Send(exchange.granter(), exchange.request()));
@@ -142,7 +143,6 @@
 
     /** Returns unused tokens and removes the state of idle tenants. */
     void sweep(long nowNanos, Consumer<QuotaAction> actions) {
-        silent.retain(orders.view().live());
         tenants.values().forEach(tenant -> {
             adaptCap(tenant);
             tenant.purse.expire(nowNanos);
@@ -218,31 +218,39 @@
     /** Returns the granter to ask now: this VM before others, each once in a round. */
     private Optional<InetSocketAddress> nextGranter(BorrowerTenant tenant, long nowNanos) {
         Optional<UsageCap> cap = caps.cap(tenant.name);
-        if (cap.isEmpty()) {
+        // A VM that has just started and knows no other one can't tell who the granters are.
+        if (cap.isEmpty() || orders.view().liveShare() == 0) {
             return Optional.empty();
         }
         InetSocketAddress self = orders.view().self();
-        List<InetSocketAddress> order = orders.of(tenant.name);
-        List<InetSocketAddress> answering =
-                order.stream().filter(vm -> !silent.isSkipped(vm, nowNanos)).toList();
-        int granters = Math.min(orders.granters(cap.get()), answering.size());
-        Optional<InetSocketAddress> preferred = answering.subList(0, granters).stream()
-                .filter(vm -> tenant.isAskable(vm, nowNanos))
+        List<InetSocketAddress> order = orders.of(tenant.name).stream()
+                .filter(vm -> !earlierBuilds.contains(vm))
+                .toList();
+        int granters = Math.min(orders.granters(cap.get()), order.size());
+        long skipped = order.stream()
+                .limit(granters)
+                .filter(vm -> silent.isSkipped(vm, nowNanos))
+                .count();
+        Optional<InetSocketAddress> preferred = order.stream()
+                .limit(granters)
+                .filter(vm -> isAskable(tenant, vm, nowNanos))
                 .min(Comparator.comparing((InetSocketAddress vm) -> !vm.equals(self))
                         .thenComparing(vm -> GranterOrder.preference(self, vm)));
-        boolean isMissing = tenant.isGranterMissing(nowNanos)
-                || order.stream().limit(orders.granters(cap.get())).anyMatch(vm -> silent.isSkipped(vm, nowNanos));
-        if (preferred.isPresent() || !isMissing) {
+        if (preferred.isPresent() || (skipped == 0 && !tenant.isGranterMissing(nowNanos))) {
             return preferred;
         }
-        // The first successor has a reserve for the time until the membership replaces the silent granter.
-        return answering.stream()
+        // The successors have a reserve, and take the place of silent granters that they no longer consider live.
+        return order.stream()
                 .skip(granters)
-                .limit(1)
-                .filter(vm -> tenant.isAskable(vm, nowNanos))
+                .limit(GranterOrder.RESERVES + skipped)
+                .filter(vm -> isAskable(tenant, vm, nowNanos))
                 .findFirst();
     }
 
+    private boolean isAskable(BorrowerTenant tenant, InetSocketAddress vm, long nowNanos) {
+        return !silent.isSkipped(vm, nowNanos) && tenant.isAskable(vm, nowNanos);
+    }
+
     private void refuse(
             BorrowerTenant tenant, BorrowerTenant.Waiting waiting, long nowNanos, Consumer<QuotaAction> actions) {
         Optional<Duration> deniedFor = tenant.deniedFor(orders.view().live(), nowNanos);
--- a/coppershelf/src/main/java/io/coppershelf/quota/FleetView.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/FleetView.java
@@ -1,22 +1,40 @@
 package io.coppershelf.quota;
 
 import java.net.InetSocketAddress;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The VMs as this one sees them.
  *
  * @param self this VM
- * @param live the VMs that are considered live and not leaving, with this one
+ * @param incarnations the VMs that are considered live and not leaving, with this one, and a number that changes when a
+ *     VM is restarted
  * @param liveShare the number of live VMs divided by the number that was known recently and has not left
  */
-public record FleetView(InetSocketAddress self, Set<InetSocketAddress> live, double liveShare) {
+public record FleetView(InetSocketAddress self, Map<InetSocketAddress, Long> incarnations, double liveShare) {
     /** The excess over a cap that deployments tolerate; the parts of a divided fleet together stay below it. */
     private static final double EXCESS = 1.25;
 
-    /** Copies the set. */
+    /** Copies the map. */
     public FleetView {
-        live = Set.copyOf(live);
+        incarnations = Collections.unmodifiableMap(new LinkedHashMap<>(incarnations));
+    }
+
+    /** Returns the VMs that are considered live and not leaving, with this one. */
+    Set<InetSocketAddress> live() {
+        return incarnations.keySet();
+    }
+
+    /** Returns the VMs of this view that are those of another one and were not restarted since. */
+    Set<InetSocketAddress> unchangedSince(FleetView other) {
+        return incarnations.entrySet().stream()
+                .filter(entry -> entry.getValue().equals(other.incarnations.get(entry.getKey())))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
     }
 
     /**
--- a/coppershelf/src/main/java/io/coppershelf/quota/Granter.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/Granter.java
@@ -10,8 +10,8 @@
 import java.util.function.Consumer;
 
 /**
- * Lends tokens of the tenants for which this VM is a granter, and a reserve of those for which it is the first
- * successor. Not thread-safe.
+ * Lends tokens of the tenants for which this VM is a granter, and a reserve of those for which it is one of the first
+ * successors. Not thread-safe.
  */
 final class Granter {
     /** Time without a request after which the state of a tenant is removed. */
@@ -33,15 +33,15 @@
     private final TenantCaps caps;
     private final TenantOrders orders;
     private final EarlierBuilds earlierBuilds;
-    private final SilentVms silent;
+    private final AnswerSample sample;
     private final Map<String, GranterTenant> tenants = new HashMap<>();
     private long roleSinceNanos;
 
-    Granter(TenantCaps caps, TenantOrders orders, EarlierBuilds earlierBuilds, SilentVms silent, long nowNanos) {
+    Granter(TenantCaps caps, TenantOrders orders, EarlierBuilds earlierBuilds, AnswerSample sample, long nowNanos) {
         this.caps = caps;
         this.orders = orders;
         this.earlierBuilds = earlierBuilds;
-        this.silent = silent;
+        this.sample = sample;
         roleSinceNanos = nowNanos;
     }
 
@@ -118,14 +118,17 @@
         if (place >= granters) {
             order.subList(0, granters).forEach(predecessors);
         }
-        if (place < 0 || place > granters) {
+        if (place < 0 || place >= granters + GranterOrder.RESERVES) {
             return Optional.empty();
         }
-        if (place == granters) {
-            double perSecond = (RESERVE_SHARE * cap.get().perSecond() + RESERVE_PER_SECOND) * view.liveShare();
+        if (place >= granters) {
+            double perSecond = (RESERVE_SHARE * cap.get().perSecond() + RESERVE_PER_SECOND)
+                    * view.liveShare()
+                    * sample.share()
+                    / GranterOrder.RESERVES;
             return Optional.of(new Share(perSecond, Math.max(1, perSecond), true));
         }
-        double factor = view.mintFactor(silent.answeringShare(earlierBuilds::contains)) / granters;
+        double factor = view.mintFactor(sample.share()) / granters;
         double capacity = (cap.get().burst() + EXTRA_TOKENS) * factor;
         return Optional.of(new Share(cap.get().perSecond() * factor, Math.max(1, capacity), false));
     }
--- a/coppershelf/src/main/java/io/coppershelf/quota/GranterOrder.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/GranterOrder.java
@@ -15,11 +15,14 @@
  */
 final class GranterOrder {
     /** Largest number of granters of a tenant. */
-    private static final int MAX_GRANTERS = 8;
-    /** Smallest number of granters of a tenant, so that it is served while one is down and not yet replaced. */
-    private static final int MIN_GRANTERS = 2;
-    /** Rate for which one granter suffices, in requests a second. */
-    private static final double RATE_PER_GRANTER = 10;
+    private static final int MAX_GRANTERS = 16;
+    /** Smallest number of granters of a tenant, so that it is served while some are down and not yet replaced. */
+    private static final int MIN_GRANTERS = 3;
+    /** Rate for which one more granter is used; a VM that is granter of several tenants has few messages. */
+    private static final double RATE_PER_GRANTER = 5;
+
+    /** Successors of the granters that share the reserve of a tenant; some may be down with the granters. */
+    static final int RESERVES = 3;
 
     private GranterOrder() {}
 
--- a/coppershelf/src/main/java/io/coppershelf/quota/GranterTenant.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/GranterTenant.java
@@ -9,7 +9,7 @@
 final class GranterTenant {
     private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
     /** Requests a second that a granter answers for one tenant above its cap; bounds the messages of a large fleet. */
-    private static final double REQUESTS_PER_SECOND = 10;
+    private static final double REQUESTS_PER_SECOND = 20;
     /** Longest time until a borrower that got no tokens asks again. */
     private static final long MAX_RETRY_NANOS = TimeUnit.SECONDS.toNanos(10);
     /** Time in which a borrower without tokens counts as one that will ask again. */
--- a/coppershelf/src/main/java/io/coppershelf/quota/QuotaNode.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/QuotaNode.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -19,7 +20,10 @@
     private static final long SWEEP_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     private final TenantOrders orders;
-    private final EarlierBuilds earlierBuilds = new EarlierBuilds();
+    private final EarlierBuilds earlierBuilds;
+    private final SilentVms silent = new SilentVms();
+    private final AnswerSample sample;
+    private final Random random;
     private final Granter granter;
     private final Borrower borrower;
     private final Deque<QuotaAction> queued = new ArrayDeque<>();
@@ -30,9 +34,11 @@
     /** Creates the part of a VM that has just started. */
     public QuotaNode(TenantCaps caps, FleetView view, Random random, long nowNanos) {
         orders = new TenantOrders(view);
-        SilentVms silent = new SilentVms();
-        granter = new Granter(caps, orders, earlierBuilds, silent, nowNanos);
-        borrower = new Borrower(caps, orders, silent, random);
+        earlierBuilds = new EarlierBuilds(nowNanos);
+        sample = new AnswerSample(nowNanos);
+        granter = new Granter(caps, orders, earlierBuilds, sample, nowNanos);
+        borrower = new Borrower(caps, orders, silent, earlierBuilds, random);
+        this.random = random;
         lastEventNanos = nowNanos;
         sweptNanos = nowNanos;
     }
@@ -41,11 +47,14 @@
     public void use(FleetView view, long nowNanos) {
         advance(nowNanos);
         boolean isLiveChanged = !view.live().equals(orders.view().live());
-        if (!isLiveChanged && view.liveShare() == orders.view().liveShare()) {
+        if (view.equals(orders.view())) {
             return;
         }
+        Set<InetSocketAddress> unchanged = view.unchangedSince(orders.view());
         orders.use(view);
-        earlierBuilds.retain(view.live());
+        // A VM that was restarted may run another build, and answer again.
+        earlierBuilds.retain(unchanged);
+        silent.retain(unchanged);
         granter.viewChanged(isLiveChanged, nowNanos);
     }
 
@@ -56,11 +65,6 @@
         return actions(nowNanos);
     }
 
-    /** Forgets a waiting request whose caller has left. */
-    public void cancel(String tenant, long requestNumber) {
-        borrower.cancel(tenant, requestNumber);
-    }
-
     /** Returns the token of a request that did not run. */
     public void giveBack(Token token, long nowNanos) {
         borrower.giveBack(token, nowNanos);
@@ -83,11 +87,15 @@
     public List<QuotaAction> tick(long nowNanos) {
         advance(nowNanos);
         borrower.tick(nowNanos, queued::addLast);
+        earlierBuilds.nextProbe(nowNanos).ifPresent(this::probe);
         if (nowNanos - sweptNanos >= SWEEP_NANOS) {
             sweptNanos = nowNanos;
             borrower.sweep(nowNanos, queued::addLast);
             granter.sweep(nowNanos);
         }
+        if (granter.size() > 0 && sample.isDue(nowNanos)) {
+            askRandomVm(nowNanos);
+        }
         return actions(nowNanos);
     }
 
@@ -110,22 +118,36 @@
 
     private void apply(InetSocketAddress sender, QuotaMessage message, long nowNanos) {
         if (message instanceof QuotaMessage.Request request) {
-            QuotaMessage.Grant grant = granter.request(sender, request, vm -> probe(vm, request, nowNanos), nowNanos);
+            QuotaMessage.Grant grant =
+                    granter.request(sender, request, vm -> earlierBuilds.suspect(vm, nowNanos), nowNanos);
             if (request.wanted() > 0 || request.returned() == 0) {
                 queued.addLast(new QuotaAction.Send(sender, grant));
             }
         } else if (message instanceof QuotaMessage.Grant grant) {
+            sample.recordAnswer(sender, grant.number());
             borrower.granted(sender, grant, nowNanos, queued::addLast);
         }
     }
 
-    /** Asks a VM that should grant in place of this one whether it can. */
-    private void probe(InetSocketAddress vm, QuotaMessage.Request cause, long nowNanos) {
-        if (!earlierBuilds.isProbeDue(vm, nowNanos)) {
+    /** Asks a random VM whether it answers; the answer is the same as to a request for tokens of an unknown tenant. */
+    private void askRandomVm(long nowNanos) {
+        List<InetSocketAddress> others = orders.view().live().stream()
+                .filter(vm -> !vm.equals(orders.view().self()) && !earlierBuilds.contains(vm))
+                .toList();
+        if (others.isEmpty()) {
             return;
         }
-        QuotaMessage.Request probe = new QuotaMessage.Request(cause.tenant(), cause.version(), --lastProbe, 0, 0, 0);
-        queued.addLast(new QuotaAction.Send(vm, probe));
+        InetSocketAddress vm = others.get(random.nextInt(others.size()));
+        QuotaMessage.Request question = new QuotaMessage.Request("", 0, --lastProbe, 0, 0, 0);
+        sample.ask(vm, question.number(), nowNanos)
+                .filter(earlierBuilds::isGranting)
+                .ifPresent(unanswered -> sample.recordSilence());
+        queued.addLast(new QuotaAction.Send(vm, question));
+    }
+
+    /** Asks a VM that did not answer or should grant in place of this one whether it can. */
+    private void probe(InetSocketAddress vm) {
+        queued.addLast(new QuotaAction.Send(vm, new QuotaMessage.Request("", 0, --lastProbe, 0, 0, 0)));
         if (earlierBuilds.needsContact(vm)) {
             queued.addLast(new QuotaAction.RequestContact(vm));
         }
--- a/coppershelf/src/main/java/io/coppershelf/quota/TenantOrders.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/TenantOrders.java
@@ -9,7 +9,7 @@
 /** The VMs in the order of each tenant, as the current view of the fleet gives it. Not thread-safe. */
 final class TenantOrders {
     /** VMs kept of an order: all granters, and as many successors. */
-    private static final int LENGTH = 24;
+    private static final int LENGTH = 48;
     /** Tenants whose order is kept; the others are computed again. */
     private static final int MAX_TENANTS = 10_000;
 
--- a/coppershelf/src/test/java/io/coppershelf/mesh/SimulatedQuotaFleet.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/SimulatedQuotaFleet.java
@@ -90,6 +90,9 @@
         final int index;
         final InetSocketAddress address;
         boolean isLive;
+        /** The time from which the load balancer sends callers; it probes once a second. */
+        long servesFromNanos;
+
         boolean isEarlierBuild;
         boolean isPaused;
         long sentBytes;
@@ -108,6 +111,7 @@
 
         void start() {
             isLive = true;
+            servesFromNanos = now == 0 ? 0 : now + (long) (random.nextDouble() * SECOND);
             byAddress.put(address, this);
             int started = ++incarnation;
             List<InetSocketAddress> seeds =
@@ -116,6 +120,7 @@
             node = new QuotaNode(this, membership.quotaView(now), new Random(random.nextLong()), now);
             viewedNanos = now;
             isTickScheduled = false;
+            after(50 * MILLI, () -> run(started, this::gossip));
             every(started, 400 * MILLI, this::gossip);
             every(started, 50 * MILLI, () -> execute(node.tick(clock())));
         }
