--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -53,11 +53,9 @@
     private final ServersInForce servers = new ServersInForce();
     private final SnapshotSource startSnapshots;
     private final ConfigurationFetcher configurationFetcher;
-    private final SummaryFetcher summaryFetcher;
     private boolean isReading;
     private boolean needsCompleteReading = true;
     private long ticks;
-    private long lastTickNanos;
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile boolean isStopping;
 
@@ -90,8 +88,9 @@
         exchange = new MembershipExchange(membership, messenger);
         CrashReporting crashes =
                 new CrashReporting(messenger, observations.crashes(), () -> membership.randomLive(now()), random, log);
-        reporting = new ServerReporting(loop, messenger, observations, crashes, membership.dataCentre(), changeLog);
-        summaryFetcher = new SummaryFetcher(() -> membership.randomLive(now()), messenger::send);
+        SummaryFetcher summaries = new SummaryFetcher(() -> membership.randomLive(now()), messenger::send);
+        reporting = new ServerReporting(
+                loop, messenger, observations, crashes, summaries, membership.dataCentre(), changeLog);
         SnapshotSource snapshots =
                 new CompleteSnapshots(new SnapshotClient(loop, () -> membership.randomLive(now())), needsTenants);
         startSnapshots = new SingleFetch(snapshots);
@@ -184,10 +183,7 @@
     private void tick() {
         long now = now();
         quota.ifPresent(QuotaExchange::tick);
-        if (ticks > 0) {
-            metrics.recordControlDelay(now - lastTickNanos - TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS));
-        }
-        lastTickNanos = now;
+        metrics.recordTick(now, TimeUnit.MILLISECONDS.toNanos(TICK_MILLIS));
         if (schedule.isOverdue(now)) {
             servers.recordOutage(now);
         }
@@ -199,8 +195,7 @@
         if (ticks % TICKS_PER_GOSSIP == 1) {
             observations.load().expire(now);
             exchange.gossip(now);
-            reporting.gossip(now);
-            summaryFetcher.requestIfMissing(catalog.servers(), membership.ageNanos(now));
+            reporting.gossip(membership.ageNanos(now), now);
         }
         if (!isReading && schedule.isDue(messenger.rank(now), membership.ageNanos(now), now)) {
             read();
@@ -227,10 +222,7 @@
             applyLeaving(leaving.serverKey(), sender.toString());
         } else if (message instanceof MeshMessage.CatalogUpdate update) {
             metrics.recordUpdate(applyUpdate(update));
-        } else if (message instanceof MeshMessage.SummaryRequest) {
-            reporting.sendSummaries(sender, catalog.servers());
         } else {
-            summaryFetcher.received(sender, message);
             reporting.apply(sender, message);
         }
     }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshMetrics.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Locale;
+import java.util.Optional;
 
 /** Measures how current the control state of this VM is. */
 public final class MeshMetrics {
@@ -24,6 +25,7 @@
     private final Counter updates;
     private final Counter ignored;
     private final Histogram controlDelay;
+    private Optional<Long> lastTickNanos = Optional.empty();
     private final Counter tokenMessages;
 
     /** Registers the metrics. */
@@ -63,6 +65,12 @@
         tokenMessages.inc();
     }
 
+    /** Records that the periodic action of the control thread has started. */
+    void recordTick(long nowNanos, long intervalNanos) {
+        lastTickNanos.ifPresent(last -> recordControlDelay(nowNanos - last - intervalNanos));
+        lastTickNanos = Optional.of(nowNanos);
+    }
+
     void recordControlDelay(long nanos) {
         controlDelay.observe(Math.max(0, nanos) / NANOS_PER_SECOND);
     }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
@@ -27,21 +27,25 @@
     private final FleetMessenger messenger;
     private final FleetObservations observations;
     private final CrashReporting crashes;
+    private final SummaryFetcher summaryFetcher;
     private final StateChangeLog changeLog;
     private final ServerSummaries summaries;
     private final Map<String, ServerReporter> reportersByDataCentre = new HashMap<>();
+    private ServerList servers = ServerList.EMPTY;
 
     ServerReporting(
             EventLoop loop,
             FleetMessenger messenger,
             FleetObservations observations,
             CrashReporting crashes,
+            SummaryFetcher summaryFetcher,
             String dataCentre,
             StateChangeLog changeLog) {
         this.loop = loop;
         this.messenger = messenger;
         this.observations = observations;
         this.crashes = crashes;
+        this.summaryFetcher = summaryFetcher;
         this.changeLog = changeLog;
         summaries = new ServerSummaries(dataCentre);
     }
@@ -99,7 +103,10 @@
 
     /** Applies a message of another VM on servers. */
     void apply(InetSocketAddress sender, MeshMessage message) {
-        if (message instanceof MeshMessage.ServerReport report) {
+        summaryFetcher.received(sender, message);
+        if (message instanceof MeshMessage.SummaryRequest) {
+            sendSummaries(sender);
+        } else if (message instanceof MeshMessage.ServerReport report) {
             apply(sender, report);
         } else if (message instanceof MeshMessage.ServerSummary summary) {
             observations.recordSummary(summary, System.nanoTime());
@@ -113,14 +120,19 @@
     }
 
     /** Sends to another VM all that this one knows of the servers. */
-    void sendSummaries(InetSocketAddress receiver, ServerList servers) {
+    private void sendSummaries(InetSocketAddress receiver) {
         ServerSummaries.complete(servers, observations, this::inFlight, System.nanoTime())
                 .forEach(summary -> messenger.send(receiver, summary));
     }
 
-    /** Sends to another VM what it may have missed. */
-    void gossip(long nowNanos) {
+    /**
+     * Sends to another VM what it may have missed, and requests what this one may have missed.
+     *
+     * @param ageNanos the time since this VM started
+     */
+    void gossip(long ageNanos, long nowNanos) {
         crashes.gossip(nowNanos);
+        summaryFetcher.requestIfMissing(servers, ageNanos);
     }
 
     private void apply(InetSocketAddress sender, MeshMessage.ServerReport report) {
@@ -142,8 +154,13 @@
         }
     }
 
-    /** Sends the reports and the summary that are due. */
-    void sendDue(ServerList servers) {
+    /**
+     * Sends the reports and the summary that are due.
+     *
+     * @param serversInForce the servers that may get requests
+     */
+    void sendDue(ServerList serversInForce) {
+        servers = serversInForce;
         reportersByDataCentre.keySet().forEach(this::send);
         long now = System.nanoTime();
         Audience audience = messenger.audience(now);
