--- a/coppershelf/src/main/java/io/coppershelf/proxy/AdmissionGate.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/AdmissionGate.java
@@ -25,6 +25,12 @@
  * it; other services are served as if there were no such control. Confined to the traffic thread.
  */
 final class AdmissionGate {
+    /**
+     * Largest fleet in which every VM receives the counts of all others. In a larger one the loads in the answers to
+     * this VM alone would decide, which refused requests while servers were idle and left servers without any.
+     */
+    private static final int MAX_FLEET = 48;
+
     private final boolean isEnabled;
     private final ControlState state;
     private final ServerChooser chooser;
@@ -158,7 +164,7 @@
     private Optional<ServiceAdmission> of(String service) {
         useConfiguration(state.catalog().configuration());
         RankOrder order = ranks.get(service);
-        if (order == null || !isEnabled) {
+        if (order == null || !isEnabled || state.fleetPosition().size() > MAX_FLEET) {
             return Optional.empty();
         }
         return Optional.of(byService.computeIfAbsent(service, name -> new ServiceAdmission(order, random)));
