Prefer servers with a connection where a deployment counts its connections

A new connection costs processor time on both sides and one round trip.

With the contract pool in the settings the expected loss of a server without an idle connection that may be reused is 0.015 higher: above the random part, so that an idle server with a connection goes before one without, and below the loss of the second slot of three, so that load and health decide as before. Deployments without the contract choose as before.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -43,6 +43,11 @@
     private static final double REMOTE_LARGE_LOSS = 0.12;
     /** Loss at a server in backoff, which the last connection attempts failed to reach. */
     private static final double BACKOFF_LOSS = 2.0;
+    /**
+     * Loss due to a new connection, where the deployment asks for few of them. It is above the random loss, so that
+     * idle servers with a connection go first, and below that of the second slot of three.
+     */
+    private static final double NEW_CONNECTION_LOSS = 0.015;
     /** Largest random loss, which spreads the requests over servers of about equal loss. */
     private static final double JITTER_LOSS = 0.01;
 
@@ -57,6 +62,7 @@
     private final Supplier<FleetPosition> position;
     private final Random random;
     private final Map<String, ServerStats> statsByServer = new HashMap<>();
+    private Optional<ConnectionReuse> reuse = Optional.empty();
 
     /**
      * Creates a chooser without server statistics.
@@ -85,6 +91,11 @@
         this.random = random;
     }
 
+    /** Prefers servers to which this VM has a connection that can be reused; without this call all are equal. */
+    public void preferReuse(ConnectionReuse rule) {
+        reuse = Optional.of(rule);
+    }
+
     /** Returns the statistics of a server; a new incarnation starts with empty ones. */
     public ServerStats stats(BackendServer server) {
         ServerStats known = statsByServer.get(server.id());
@@ -237,9 +248,14 @@
             loss += kind.isLarge() ? REMOTE_LARGE_LOSS : REMOTE_LOSS;
         }
         loss += server.isCold() ? COLD_LOSS : 0;
+        loss += needsNewConnection(server, kind, nowNanos) ? NEW_CONNECTION_LOSS : 0;
         return loss + JITTER_LOSS * random.nextDouble();
     }
 
+    private boolean needsNewConnection(BackendServer server, RequestKind kind, long nowNanos) {
+        return reuse.isPresent() && !stats(server).hasIdleConnection(reuse.get().maxIdleNanos(kind), nowNanos);
+    }
+
     private static double loadLoss(double estimatedLoad, int slots) {
         double fill = (estimatedLoad + 1) / Math.max(1, slots);
         if (fill <= 1) {
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerStats.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerStats.java
@@ -20,6 +20,8 @@
     private final String key;
     private final long code;
     private int inFlight;
+    private int idleConnections;
+    private long idleConnectionNanos;
     private int reportedLoad;
     private long reportedAtNanos;
     private boolean hasReport;
@@ -65,6 +67,23 @@
         return inFlight;
     }
 
+    /** Records that this VM has more or fewer idle connections to the server. */
+    public void recordIdleConnections(int count, long nowNanos) {
+        if (count > idleConnections) {
+            idleConnectionNanos = nowNanos;
+        }
+        idleConnections = count;
+    }
+
+    /**
+     * Returns whether this VM has a connection to the server that has not been idle for too long.
+     *
+     * @param maxIdleNanos the longest idle time of a connection that can be reused
+     */
+    boolean hasIdleConnection(long maxIdleNanos, long nowNanos) {
+        return idleConnections > 0 && nowNanos - idleConnectionNanos <= maxIdleNanos;
+    }
+
     /** Records the load that the server reported, the sum of running and queued requests. */
     public void recordReportedLoad(int load, long nowNanos) {
         reportedLoad = load;
--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -100,6 +100,7 @@
                 observations.crashes(),
                 settings.dataCentre(),
                 settings.features().isPrioritized(),
+                settings.features().isReusePreferred(),
                 registry,
                 log);
         state.start(settings.meshAddress());
--- a/coppershelf/src/main/java/io/coppershelf/proxy/PathObserver.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/PathObserver.java
@@ -62,6 +62,13 @@
         return doubtful;
     }
 
+    @Override
+    public void idleConnectionsChanged(BackendServer server, int count) {
+        if (isRegistered(server)) {
+            chooser.stats(server).recordIdleConnections(count, System.nanoTime());
+        }
+    }
+
     private boolean isRegistered(BackendServer server) {
         return state.catalog()
                 .servers()
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestWriter.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestWriter.java
@@ -1,6 +1,7 @@
 package io.coppershelf.proxy;
 
 import io.coppershelf.catalog.BackendServer;
+import io.coppershelf.catalog.RequestKind;
 import io.coppershelf.http.AnswerListener;
 import io.coppershelf.http.HttpConnection;
 import io.netty.buffer.Unpooled;
@@ -55,13 +56,17 @@
         this.reasonNotToSend = reasonNotToSend;
     }
 
+    /** Returns the longest idle time of a connection that is used for requests of a kind. */
+    static long maxIdleNanos(RequestKind kind) {
+        return kind.isRepeatable() ? Long.MAX_VALUE : ONCE_IDLE_NANOS;
+    }
+
     /** Sends the request to a server. */
     void send(ServerAttempt attempt) {
-        long maxIdle = !resolved.route().kind().isRepeatable() ? ONCE_IDLE_NANOS : Long.MAX_VALUE;
         context.pool()
                 .acquire(
                         attempt.server(),
-                        maxIdle,
+                        maxIdleNanos(resolved.route().kind()),
                         maxConnections(),
                         connection -> write(attempt, connection),
                         attempt::connectFailed);
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerConnectionPool.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerConnectionPool.java
@@ -39,6 +39,9 @@
          * @return other servers that are now unlikely to be reached; requests stop to wait for connections to them
          */
         Collection<BackendServer> failed(BackendServer server);
+
+        /** Called when the number of idle connections to a server has changed. */
+        void idleConnectionsChanged(BackendServer server, int count);
     }
 
     private final HttpConnector connector;
@@ -65,6 +68,7 @@
             Consumer<String> onFailure) {
         ServerConnections connections = connections(server);
         Optional<HttpConnection> idle = connections.takeIdle(maxIdleNanos);
+        idleChanged(server, connections);
         if (idle.isPresent()) {
             onOpen.accept(idle.get());
             return;
@@ -83,7 +87,7 @@
                     if (connections.waiters.remove(waiter)) {
                         waiter.onOpen.accept(connection);
                     } else {
-                        connections.idle.addFirst(connection);
+                        becameIdle(server, connections, connection);
                     }
                 },
                 cause -> {
@@ -94,8 +98,11 @@
                         waiter.onFailure.accept(cause.toString());
                     }
                 },
-                connections.idle::addFirst,
-                connections::closed);
+                connection -> becameIdle(server, connections, connection),
+                connection -> {
+                    connections.closed(connection);
+                    idleChanged(server, connections);
+                });
     }
 
     /**
@@ -108,7 +115,7 @@
         connector.open(
                 server.address(),
                 connection -> {
-                    connections.idle.addFirst(connection);
+                    becameIdle(server, connections, connection);
                     observer.ifPresent(observing -> observing.connected(server));
                     onResult.accept(ServerState.ACCEPTING);
                 },
@@ -119,8 +126,20 @@
                             cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
                     onResult.accept(isRefused ? ServerState.REFUSING : ServerState.UNKNOWN);
                 },
-                connections.idle::addFirst,
-                connections::closed);
+                connection -> becameIdle(server, connections, connection),
+                connection -> {
+                    connections.closed(connection);
+                    idleChanged(server, connections);
+                });
+    }
+
+    private void becameIdle(BackendServer server, ServerConnections connections, HttpConnection connection) {
+        connections.idle.addFirst(connection);
+        idleChanged(server, connections);
+    }
+
+    private void idleChanged(BackendServer server, ServerConnections connections) {
+        observer.ifPresent(observing -> observing.idleConnectionsChanged(server, connections.idle.size()));
     }
 
     /** Ends the wait of all requests for connections to a server that failed, and to those that failed with it. */
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -72,6 +72,7 @@
      * @param loop the traffic thread
      * @param dataCentre the data centre of this VM
      * @param isPrioritized whether requests compete for the capacity of servers by their cost
+     * @param isReusePreferred whether servers to which this VM has a connection are preferred
      */
     public TrafficServer(
             EventLoop loop,
@@ -85,6 +86,7 @@
             CrashRecords crashes,
             String dataCentre,
             boolean isPrioritized,
+            boolean isReusePreferred,
             PrometheusRegistry registry,
             EventLog log) {
         Random random = new Random();
@@ -94,6 +96,9 @@
         ServerPaths paths = new ServerPaths();
         ServerChooser chooser =
                 new ServerChooser(dataCentre, estimates, fleetLoad, idleServers, limits, state::fleetPosition, random);
+        if (isReusePreferred) {
+            chooser.preferReuse(RequestWriter::maxIdleNanos);
+        }
         ServerConnectionPool pool = new ServerConnectionPool(
                 connector, Optional.of(new PathObserver(reachability, paths, chooser, state, log)));
         ReachabilityMonitor monitor = new ReachabilityMonitor(reachability, paths, pool, state, log, isReachable -> {
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
@@ -64,6 +64,27 @@
         assertThat(chosen(RequestKind.ONCE)).hasValue(far);
     }
 
+    /** Guards against a new connection for nearly every request where VMs have many servers and few requests. */
+    @Test
+    void serverWithARecentlyUsedConnectionIsPreferredUntilItHasLoad() {
+        BackendServer connected = Catalogs.server("connected", "here");
+        List<BackendServer> servers = List.of(near, connected);
+        chooser.preferReuse(kind -> SECOND);
+        recordRequests(near);
+        recordRequests(connected);
+        chooser.stats(connected).recordIdleConnections(1, 0);
+        for (int i = 0; i < 50; i++) {
+            assertThat(chooser.choose(servers, RequestKind.ONCE, true, Set.of(), SECOND))
+                    .hasValue(connected);
+        }
+        double newConnectionLoss = chooser.loss(connected, RequestKind.ONCE, true, 2 * SECOND)
+                - chooser.loss(connected, RequestKind.ONCE, true, SECOND);
+        assertThat(newConnectionLoss).isGreaterThan(0.0);
+        chooser.stats(connected).recordReportedLoad(connected.slots() - 1, SECOND);
+        assertThat(chooser.choose(servers, RequestKind.ONCE, true, Set.of(), SECOND))
+                .hasValue(near);
+    }
+
     @Test
     void serverThatAskedForAPauseIsNotChosenBeforeItsEnd() {
         chooser.stats(near).recordPause(2 * SECOND, 0);
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -86,6 +86,7 @@
                 new CrashRecords(),
                 "here",
                 isPrioritized,
+                false,
                 new PrometheusRegistry(),
                 (importance, event, fields) -> logLines.add(event + " " + fields));
         relayAddress = FreePorts.address();
