Choose the server that the floor needs first while capacity is short

Servers of a short service got no request for two seconds although the floor protects them: admission passed the servers that had just answered, a random sample or only the trusted servers to the chooser, so that the idle ones were not in the choice. ShortageChoice asks for the idle servers among all servers of the service before anything else; ServerChooser returns them in a method of its own.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -105,19 +105,27 @@
      */
     public Optional<BackendServer> choose(
             List<BackendServer> servers, RequestKind kind, boolean isLastAttempt, Set<String> excluded, long nowNanos) {
-        Optional<BackendServer> forFloor = kind.isLarge()
-                ? Optional.empty()
-                : best(
-                        idleServers.idleServers(
-                                eligibleForFloor(servers, nowNanos),
-                                server -> stats(server).code(),
-                                isLastAttempt,
-                                nowNanos),
-                        kind,
+        Optional<BackendServer> forFloor =
+                best(idleServers(servers, kind, isLastAttempt, nowNanos), kind, isLastAttempt, excluded, nowNanos);
+        return forFloor.isPresent() ? forFloor : best(servers, kind, isLastAttempt, excluded, nowNanos);
+    }
+
+    /**
+     * Returns the idle servers, one of which has to get the next request to keep the floor; empty if the floor is kept
+     * or the request is large.
+     *
+     * @param servers the servers of the service that accept requests
+     * @param isLastAttempt whether the request can't be retried if the server fails it
+     */
+    public List<BackendServer> idleServers(
+            List<BackendServer> servers, RequestKind kind, boolean isLastAttempt, long nowNanos) {
+        return kind.isLarge()
+                ? List.of()
+                : idleServers.idleServers(
+                        eligibleForFloor(servers, nowNanos),
+                        server -> stats(server).code(),
                         isLastAttempt,
-                        excluded,
                         nowNanos);
-        return forFloor.isPresent() ? forFloor : best(servers, kind, isLastAttempt, excluded, nowNanos);
     }
 
     /** Returns the servers that are not in backoff, have a free slot and may get a request that tests their health. */
--- a/coppershelf/src/main/java/io/coppershelf/proxy/AdmissionGate.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/AdmissionGate.java
@@ -12,6 +12,7 @@
 import io.coppershelf.overload.RankOrder;
 import io.coppershelf.overload.ServiceAdmission;
 import io.coppershelf.overload.ServiceRanks;
+import io.coppershelf.overload.ShortageChoice;
 import io.coppershelf.overload.ShortageCounts;
 import java.util.HashMap;
 import java.util.List;
@@ -35,6 +36,7 @@
     private final ControlState state;
     private final ServerChooser chooser;
     private final ReachableChooser reachable;
+    private final ShortageChoice choice;
     private final AdmissionMetrics metrics;
     private final EventLog log;
     private final Random random;
@@ -59,6 +61,7 @@
         this.state = state;
         this.chooser = chooser;
         this.reachable = reachable;
+        choice = new ShortageChoice(chooser, reachable);
         this.metrics = metrics;
         this.log = log;
         this.random = random;
@@ -84,10 +87,7 @@
         return decision instanceof AdmissionDecision.Refuse refuse ? Optional.of(refuse) : Optional.empty();
     }
 
-    /**
-     * Returns the server for an attempt. While capacity is short a retry is sent only to a server with a free slot, so
-     * that it takes no place in a queue from a first attempt.
-     */
+    /** Returns the server for an attempt. */
     Optional<BackendServer> choose(
             String service,
             RequestKind kind,
@@ -100,19 +100,7 @@
         if (admission.isEmpty()) {
             return reachable.choose(servers, kind, isLastAttempt, excluded, nowNanos);
         }
-        if (isRetry) {
-            List<BackendServer> free = servers.stream()
-                    .filter(server -> chooser.hasFreeSlot(server, nowNanos))
-                    .toList();
-            return reachable.choose(free, kind, isLastAttempt, excluded, nowNanos);
-        }
-        List<BackendServer> trusted = servers.stream()
-                .filter(server -> !chooser.isSuspected(server, nowNanos))
-                .toList();
-        List<BackendServer> candidates = admission.get().candidates(trusted.isEmpty() ? servers : trusted, nowNanos);
-        return reachable
-                .choose(candidates, kind, isLastAttempt, excluded, nowNanos)
-                .or(() -> reachable.choose(servers, kind, isLastAttempt, excluded, nowNanos));
+        return choice.choose(admission.get(), servers, kind, isRetry, isLastAttempt, excluded, nowNanos);
     }
 
     /**
