--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -116,19 +116,27 @@
      */
     public Optional<BackendServer> choose(
             List<BackendServer> servers, RequestKind kind, boolean isLastAttempt, Set<String> excluded, long nowNanos) {
-        Optional<BackendServer> forFloor = kind.isLarge()
-                ? Optional.empty()
-                : best(
-                        idleServers.idleServers(
-                                eligibleForFloor(servers, nowNanos),
-                                server -> stats(server).code(),
-                                isLastAttempt,
-                                nowNanos),
-                        kind,
+        Optional<BackendServer> forFloor =
+                best(idleServers(servers, kind, isLastAttempt, nowNanos), kind, isLastAttempt, excluded, nowNanos);
+        return forFloor.isPresent() ? forFloor : best(servers, kind, isLastAttempt, excluded, nowNanos);
+    }
+
+    /**
+     * Returns the idle servers, one of which has to get the next request to keep the floor; empty if the floor is kept
+     * or the request is large.
+     *
+     * @param servers the servers of the service that accept requests
+     * @param isLastAttempt whether the request can't be retried if the server fails it
+     */
+    public List<BackendServer> idleServers(
+            List<BackendServer> servers, RequestKind kind, boolean isLastAttempt, long nowNanos) {
+        return kind.isLarge()
+                ? List.of()
+                : idleServers.idleServers(
+                        eligibleForFloor(servers, nowNanos),
+                        server -> stats(server).code(),
                         isLastAttempt,
-                        excluded,
                         nowNanos);
-        return forFloor.isPresent() ? forFloor : best(servers, kind, isLastAttempt, excluded, nowNanos);
     }
 
     /** Returns the servers that are not in backoff, have a free slot and may get a request that tests their health. */
@@ -192,6 +200,34 @@
         return stats.estimatedLoad(fleetLoad.inFlightOfOthers(stats.code()), nowNanos);
     }
 
+    /** Returns the requests that this VM has in flight at the server, and the other VMs by their last reports. */
+    public int countedLoad(BackendServer server) {
+        return stats(server).inFlight() + inFlightOfOthers(server);
+    }
+
+    /**
+     * Returns whether this VM receives the counts of all VMs for the servers of the data centre, not only summaries.
+     */
+    public boolean isCounted(String countedDataCentre) {
+        return idleServers.covers(countedDataCentre);
+    }
+
+    /** Returns the time since the last message on the load of the server, empty if there was none. */
+    public Optional<Duration> countAge(BackendServer server, long nowNanos) {
+        if (position.get().size() <= 1) {
+            return Optional.of(Duration.ZERO);
+        }
+        return (isCounted(server.dataCentre())
+                        ? fleetLoad.countedNanos()
+                        : fleetLoad.summaryNanos(stats(server).code()))
+                .map(at -> Duration.ofNanos(Math.max(0, nowNanos - at)));
+    }
+
+    /** Returns whether the server accepts requests of this VM now. */
+    public boolean isAvailable(BackendServer server, long nowNanos) {
+        return remainingWaitNanos(server, nowNanos) == 0 && !stats(server).isInBackoff(nowNanos);
+    }
+
     /** Returns the number of requests that other VMs have in flight at the server. */
     int inFlightOfOthers(BackendServer server) {
         return fleetLoad.inFlightOfOthers(stats(server).code());
--- a/coppershelf/src/main/java/io/coppershelf/proxy/AdmissionGate.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/AdmissionGate.java
@@ -9,9 +9,11 @@
 import io.coppershelf.eventlog.Fields;
 import io.coppershelf.overload.AdmissionDecision;
 import io.coppershelf.overload.AdmissionRequest;
+import io.coppershelf.overload.CountedLoad;
 import io.coppershelf.overload.RankOrder;
 import io.coppershelf.overload.ServiceAdmission;
 import io.coppershelf.overload.ServiceRanks;
+import io.coppershelf.overload.ShortageChoice;
 import io.coppershelf.overload.ShortageCounts;
 import java.util.HashMap;
 import java.util.List;
@@ -25,16 +27,11 @@
  * it; other services are served as if there were no such control. Confined to the traffic thread.
  */
 final class AdmissionGate {
-    /**
-     * Largest fleet in which every VM receives the counts of all others. In a larger one the loads in the answers to
-     * this VM alone would decide, which refused requests while servers were idle and left servers without any.
-     */
-    private static final int MAX_FLEET = 48;
-
     private final boolean isEnabled;
     private final ControlState state;
     private final ServerChooser chooser;
     private final ReachableChooser reachable;
+    private final ShortageChoice choice;
     private final AdmissionMetrics metrics;
     private final EventLog log;
     private final Random random;
@@ -59,6 +56,7 @@
         this.state = state;
         this.chooser = chooser;
         this.reachable = reachable;
+        choice = new ShortageChoice(chooser, reachable);
         this.metrics = metrics;
         this.log = log;
         this.random = random;
@@ -73,7 +71,7 @@
         }
         if (admission.get().isUpdateDue(nowNanos)) {
             List<BackendServer> servers = state.catalog().servers().accepting(service);
-            admission.get().update(chooser.fill(servers, nowNanos), nowNanos);
+            admission.get().update(CountedLoad.of(servers, chooser, nowNanos), nowNanos);
         }
         AdmissionRequest asked = new AdmissionRequest(
                 resolved.rank(),
@@ -84,10 +82,7 @@
         return decision instanceof AdmissionDecision.Refuse refuse ? Optional.of(refuse) : Optional.empty();
     }
 
-    /**
-     * Returns the server for an attempt. While capacity is short a retry is sent only to a server with a free slot, so
-     * that it takes no place in a queue from a first attempt.
-     */
+    /** Returns the server for an attempt. */
     Optional<BackendServer> choose(
             String service,
             RequestKind kind,
@@ -100,19 +95,7 @@
         if (admission.isEmpty()) {
             return reachable.choose(servers, kind, isLastAttempt, excluded, nowNanos);
         }
-        if (isRetry) {
-            List<BackendServer> free = servers.stream()
-                    .filter(server -> chooser.hasFreeSlot(server, nowNanos))
-                    .toList();
-            return reachable.choose(free, kind, isLastAttempt, excluded, nowNanos);
-        }
-        List<BackendServer> trusted = servers.stream()
-                .filter(server -> !chooser.isSuspected(server, nowNanos))
-                .toList();
-        List<BackendServer> candidates = admission.get().candidates(trusted.isEmpty() ? servers : trusted, nowNanos);
-        return reachable
-                .choose(candidates, kind, isLastAttempt, excluded, nowNanos)
-                .or(() -> reachable.choose(servers, kind, isLastAttempt, excluded, nowNanos));
+        return choice.choose(admission.get(), servers, kind, isRetry, isLastAttempt, excluded, nowNanos);
     }
 
     /**
@@ -122,7 +105,9 @@
      *     and must not attract requests by them
      */
     void recordLoad(BackendServer server, int load, boolean isFailure, long nowNanos) {
-        of(server.service()).ifPresent(admission -> admission.recordLoad(server, load, isFailure, nowNanos));
+        of(server.service())
+                .ifPresent(admission -> admission.recordLoad(
+                        server, load, CountedLoad.of(server, chooser, nowNanos), isFailure, nowNanos));
     }
 
     /** Records the time from the sending of a request to its answer. */
@@ -164,7 +149,7 @@
     private Optional<ServiceAdmission> of(String service) {
         useConfiguration(state.catalog().configuration());
         RankOrder order = ranks.get(service);
-        if (order == null || !isEnabled || state.fleetPosition().size() > MAX_FLEET) {
+        if (order == null || !isEnabled) {
             return Optional.empty();
         }
         return Optional.of(byService.computeIfAbsent(service, name -> new ServiceAdmission(order, random)));
