Receive and send datagrams without a channel pipeline, and keep what follows from the membership

Of the control thread's time after the start about half was spent in the receipt of some 110 datagrams a second: mostly the channel pipeline, buffers and new decoders, since code that runs 100 times a second is interpreted for a long time. Each gossip message sorted the fleet with comparators and searched it three times, and five times a second a new view of it was made for the usage caps.

The socket is registered with the event loop directly, the codec reuses its buffers, counts of other VMs are changed in place, and receivers, relays, ranks and the view of the usage caps are determined again only after a VM has changed. The messages and their times are as before. A datagram that the socket can't send at once is lost instead of queued.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/FleetLoad.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/FleetLoad.java
@@ -1,6 +1,7 @@
 package io.coppershelf.dispatch;
 
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -15,7 +16,7 @@
     static final long EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     private final Map<Long, Map<Object, Count>> countsByServer = new HashMap<>();
-    private final Map<Long, Count> summaries = new ConcurrentHashMap<>();
+    private final Map<Long, SummaryCount> summaries = new ConcurrentHashMap<>();
     private final Map<Long, Integer> totals = new ConcurrentHashMap<>();
 
     /** Returns the 64-bit hash that identifies a server in messages. */
@@ -34,45 +35,65 @@
      * @return whether the number has grown, so that the VM has sent a request
      */
     public boolean recordInFlight(Object vm, long serverCode, int inFlight, long nowNanos) {
-        Map<Object, Count> counts = countsByServer.computeIfAbsent(serverCode, code -> new HashMap<>());
-        Count before = counts.get(vm);
-        boolean hasGrown = inFlight > (before == null ? 0 : before.inFlight);
-        if (inFlight > 0) {
-            counts.put(vm, new Count(inFlight, nowNanos));
+        Map<Object, Count> counts = countsByServer.get(serverCode);
+        Count known = counts == null ? null : counts.get(vm);
+        int before = known == null ? 0 : known.inFlight;
+        if (inFlight <= 0) {
+            if (known != null) {
+                counts.remove(vm);
+            }
+        } else if (known == null) {
+            countsByServer.computeIfAbsent(serverCode, code -> new HashMap<>()).put(vm, new Count(inFlight, nowNanos));
         } else {
-            counts.remove(vm);
+            known.inFlight = inFlight;
+            known.atNanos = nowNanos;
         }
-        update(serverCode, counts);
-        return hasGrown;
+        add(serverCode, Math.max(0, inFlight) - before);
+        return inFlight > before;
     }
 
     /** Records the number of requests that all VMs have in flight at a server, as counted in its data centre. */
     public void recordSummary(long serverCode, int inFlight, long nowNanos) {
-        summaries.put(serverCode, new Count(inFlight, nowNanos));
+        SummaryCount known = summaries.get(serverCode);
+        if (known == null) {
+            summaries.put(serverCode, new SummaryCount(inFlight, nowNanos));
+        } else {
+            known.inFlight = inFlight;
+            known.atNanos = nowNanos;
+        }
     }
 
     /** Discards counts that were not repeated in time. */
     public void expire(long nowNanos) {
-        countsByServer.forEach((code, counts) -> {
-            if (counts.values().removeIf(count -> nowNanos - count.atNanos > EXPIRY_NANOS)) {
-                update(code, counts);
-            }
-        });
+        countsByServer.forEach((code, counts) -> expire(code, counts, nowNanos));
         countsByServer.values().removeIf(Map::isEmpty);
         summaries.values().removeIf(count -> nowNanos - count.atNanos > EXPIRY_NANOS);
     }
 
     /** Returns the number of requests that other VMs have in flight at a server. */
     public int inFlightOfOthers(long serverCode) {
-        Count summary = summaries.get(serverCode);
+        SummaryCount summary = summaries.get(serverCode);
         return Math.max(totals.getOrDefault(serverCode, 0), summary == null ? 0 : summary.inFlight);
     }
 
-    private void update(long serverCode, Map<Object, Count> counts) {
-        int total = 0;
-        for (Count count : counts.values()) {
-            total += count.inFlight;
+    private void expire(long serverCode, Map<Object, Count> counts, long nowNanos) {
+        int expired = 0;
+        Iterator<Count> remaining = counts.values().iterator();
+        while (remaining.hasNext()) {
+            Count count = remaining.next();
+            if (nowNanos - count.atNanos > EXPIRY_NANOS) {
+                expired += count.inFlight;
+                remaining.remove();
+            }
         }
+        add(serverCode, -expired);
+    }
+
+    private void add(long serverCode, int change) {
+        if (change == 0) {
+            return;
+        }
+        int total = totals.getOrDefault(serverCode, 0) + change;
         if (total == 0) {
             totals.remove(serverCode);
         } else {
@@ -80,5 +101,27 @@
         }
     }
 
-    private record Count(int inFlight, long atNanos) {}
+    /**
+     * The last count of a VM. Changed in place, since most reports repeat a count; only the writing thread reads it.
+     */
+    private static final class Count {
+        private int inFlight;
+        private long atNanos;
+
+        Count(int inFlight, long atNanos) {
+            this.inFlight = inFlight;
+            this.atNanos = atNanos;
+        }
+    }
+
+    /** The last count of a summary. Changed in place by the writing thread, which alone reads the time. */
+    private static final class SummaryCount {
+        private volatile int inFlight;
+        private long atNanos;
+
+        SummaryCount(int inFlight, long atNanos) {
+            this.inFlight = inFlight;
+            this.atNanos = atNanos;
+        }
+    }
 }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MemberEntry.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MemberEntry.java
@@ -40,4 +40,13 @@
     boolean isNewerThan(MemberEntry other) {
         return incarnation > other.incarnation || (incarnation == other.incarnation && heartbeat > other.heartbeat);
     }
+
+    /** Returns whether the other entry of the same VM differs at most in its heartbeat. */
+    boolean isSameButForHeartbeat(MemberEntry other) {
+        return incarnation == other.incarnation
+                && isLeaving == other.isLeaving
+                && relayPort == other.relayPort
+                && isCutOff == other.isCutOff
+                && dataCentre.equals(other.dataCentre);
+    }
 }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/Membership.java
@@ -4,6 +4,7 @@
 import io.coppershelf.quota.FleetView;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -38,6 +39,10 @@
     private static final long ALONE_NANOS = TimeUnit.SECONDS.toNanos(60);
     /** Largest number of entries of other VMs in a message, so that it fits into one packet. */
     private static final int MAX_ENTRIES_PER_MESSAGE = 16;
+    /** Bits of the index of a member beside its age, which is below 2^33 ns for a live one. */
+    private static final int INDEX_BITS = 20;
+
+    private static final long INDEX_MASK = (1L << INDEX_BITS) - 1;
 
     /** An order of the VMs that is the same on all of them. */
     static final Comparator<InetSocketAddress> ORDER = Comparator.<InetSocketAddress>comparingInt(Membership::mixedHash)
@@ -52,6 +57,8 @@
     private final int joiningRank;
     private final Map<InetSocketAddress, Member> members = new HashMap<>();
     private final RecentVms recent;
+    private final ReusedView view = new ReusedView();
+    private Optional<LiveVms> live = Optional.empty();
     private long heartbeat;
     private boolean isLeaving;
     private int relayPort;
@@ -100,18 +107,7 @@
      * centre if at least half of its VMs accept them, else of all.
      */
     List<InetSocketAddress> relays(long nowNanos) {
-        List<MemberEntry> live = members.values().stream()
-                .filter(member -> !member.isDown(nowNanos))
-                .map(member -> member.entry)
-                .toList();
-        List<MemberEntry> near =
-                live.stream().filter(vm -> vm.dataCentre().equals(dataCentre)).toList();
-        List<MemberEntry> nearAccepting =
-                near.stream().filter(MemberEntry::acceptsRelays).toList();
-        boolean isNearEnough = !nearAccepting.isEmpty() && 2 * nearAccepting.size() >= near.size() + 1;
-        return (isNearEnough ? nearAccepting.stream() : live.stream().filter(MemberEntry::acceptsRelays))
-                .map(MemberEntry::relayAddress)
-                .toList();
+        return liveVms(nowNanos).relays();
     }
 
     /**
@@ -131,8 +127,9 @@
             Member known = members.get(entry.address());
             boolean hasRestarted = i == 0 && known != null && entry.incarnation() != known.entry.incarnation();
             if (known == null || hasRestarted || entry.isNewerThan(known.entry)) {
-                hasNew |= known == null || known.isDown(nowNanos);
-                members.put(entry.address(), new Member(entry, nowNanos));
+                boolean isNew = known == null || known.isDown(nowNanos);
+                hasNew |= isNew;
+                update(known, entry, isNew, nowNanos);
                 recent.record(entry, nowNanos);
             }
         }
@@ -140,11 +137,23 @@
         return hasNew;
     }
 
+    private void update(Member known, MemberEntry entry, boolean isNew, long nowNanos) {
+        if (isNew || !entry.isSameButForHeartbeat(known.entry)) {
+            live = Optional.empty();
+        }
+        if (known == null) {
+            members.put(entry.address(), new Member(entry, nowNanos));
+        } else {
+            known.entry = entry;
+            known.updatedAtNanos = nowNanos;
+        }
+    }
+
     /** Records a message of any type from a known VM as a sign that it is alive. */
     public void recordContact(InetSocketAddress sender, long nowNanos) {
         Member known = members.get(sender);
         if (known != null && !known.isDown(nowNanos)) {
-            members.put(sender, new Member(known.entry, nowNanos));
+            known.updatedAtNanos = nowNanos;
         }
     }
 
@@ -154,14 +163,29 @@
         List<Member> others = new ArrayList<>(members.values());
         others.removeIf(member -> member.isDown(nowNanos));
         Collections.shuffle(others, random);
-        others.sort(Comparator.comparingLong(member -> nowNanos - member.updatedAtNanos));
         int limit = isComplete ? others.size() : Math.min(MAX_ENTRIES_PER_MESSAGE, others.size());
+        long[] order = orderByAge(others, nowNanos);
         List<MemberEntry> entries = new ArrayList<>();
         entries.add(new MemberEntry(self, dataCentre, incarnation, heartbeat, isLeaving, relayPort, isCutOff));
-        others.subList(0, limit).forEach(member -> entries.add(member.entry));
+        for (int i = 0; i < limit; i++) {
+            entries.add(others.get((int) (order[i] & INDEX_MASK)).entry);
+        }
         return entries;
     }
 
+    /**
+     * Returns the indexes of live members in the low bits of numbers that are ordered by the age of the members. A list
+     * that is sorted with a comparator costs several times as much, and the order is needed five times a second.
+     */
+    private static long[] orderByAge(List<Member> live, long nowNanos) {
+        long[] order = new long[live.size()];
+        for (int i = 0; i < order.length; i++) {
+            order[i] = Math.max(0, nowNanos - live.get(i).updatedAtNanos) << INDEX_BITS | i;
+        }
+        Arrays.sort(order);
+        return order;
+    }
+
     /** Returns the target of the next gossip message: a live VM, or a seed while few VMs are known. */
     public Optional<InetSocketAddress> nextGossipTarget(long nowNanos) {
         List<InetSocketAddress> live = live(nowNanos);
@@ -172,21 +196,27 @@
 
     /** Returns the addresses of the other VMs that are considered live. */
     public List<InetSocketAddress> live(long nowNanos) {
-        return members.values().stream()
-                .filter(member -> !member.isDown(nowNanos))
-                .map(member -> member.entry.address())
-                .toList();
+        return liveVms(nowNanos).addresses();
     }
 
     /** Returns the VMs that receive the reports of this VM. */
     Audience audience(long nowNanos) {
-        return Audience.of(
-                self,
-                dataCentre,
-                members.values().stream()
-                        .filter(member -> !member.isDown(nowNanos))
-                        .map(member -> member.entry)
-                        .toList());
+        return liveVms(nowNanos).audience();
+    }
+
+    private LiveVms liveVms(long nowNanos) {
+        if (live.isEmpty() || !live.get().isValidAt(nowNanos)) {
+            List<MemberEntry> entries = new ArrayList<>();
+            long oldestNanos = nowNanos;
+            for (Member member : members.values()) {
+                if (!member.isDown(nowNanos)) {
+                    entries.add(member.entry);
+                    oldestNanos = Math.min(oldestNanos, member.updatedAtNanos);
+                }
+            }
+            live = Optional.of(new LiveVms(self, dataCentre, List.copyOf(entries), oldestNanos + DOWN_NANOS));
+        }
+        return live.get();
     }
 
     /** Returns one of the other VMs that are considered live, chosen at random. */
@@ -219,21 +249,18 @@
      * only, so it assumes a large one; while it knows no other VM, it may be cut off.
      */
     public FleetView quotaView(long nowNanos) {
-        Map<InetSocketAddress, Long> live = new HashMap<>();
-        members.values().stream()
-                .filter(member -> !member.isDown(nowNanos) && !member.entry.isLeaving())
-                .forEach(member -> live.put(member.entry.address(), member.entry.incarnation()));
-        int known = recent.count(live.keySet(), nowNanos) + 1;
-        boolean isAlone = live.isEmpty() && !seeds.isEmpty() && known == 1;
+        Map<InetSocketAddress, Long> others = liveVms(nowNanos).incarnations();
+        int known = recent.count(others.keySet(), nowNanos) + 1;
+        boolean isAlone = others.isEmpty() && !seeds.isEmpty() && known == 1;
         boolean isPartial = ageNanos(nowNanos) < PARTIAL_NANOS;
         if (isPartial || (isAlone && ageNanos(nowNanos) < ALONE_NANOS)) {
-            known = seeds.isEmpty() && live.isEmpty() ? known : Math.max(known, ASSUMED_FLEET_SIZE);
-        }
-        if (!isLeaving || live.isEmpty()) {
-            live.put(self, incarnation);
+            known = seeds.isEmpty() && others.isEmpty() ? known : Math.max(known, ASSUMED_FLEET_SIZE);
         }
+        boolean isIncluded = !isLeaving || others.isEmpty();
         boolean isUncertain = isAlone && isJoining(nowNanos);
-        return new FleetView(self, live, isUncertain ? 0 : Math.min(1, live.size() / (double) known));
+        int size = others.size() + (isIncluded ? 1 : 0);
+        double liveShare = isUncertain ? 0 : Math.min(1, size / (double) known);
+        return view.use(others, isIncluded, liveShare);
     }
 
     private boolean isJoining(long nowNanos) {
@@ -242,10 +269,7 @@
 
     /** Returns the rank of this VM among the live ones, in an order that is the same on all VMs. */
     public int rank(long nowNanos) {
-        return (int) members.values().stream()
-                .filter(member -> !member.isDown(nowNanos) && !member.entry.isLeaving())
-                .filter(member -> ORDER.compare(member.entry.address(), self) < 0)
-                .count();
+        return liveVms(nowNanos).rank();
     }
 
     /** Returns the time since this VM started, in nanoseconds. */
@@ -259,7 +283,39 @@
         return hash ^ (hash >>> 15);
     }
 
-    private record Member(MemberEntry entry, long updatedAtNanos) {
+    /** The fleet as the usage caps saw it last, which is used again until it changes. */
+    private final class ReusedView {
+        private Map<InetSocketAddress, Long> others = Map.of();
+        private boolean isIncluded;
+        private Optional<FleetView> view = Optional.empty();
+
+        FleetView use(Map<InetSocketAddress, Long> newOthers, boolean isNowIncluded, double liveShare) {
+            if (view.isEmpty()
+                    || newOthers != others
+                    || isNowIncluded != isIncluded
+                    || view.get().liveShare() != liveShare) {
+                others = newOthers;
+                isIncluded = isNowIncluded;
+                Map<InetSocketAddress, Long> incarnations = new HashMap<>();
+                others.forEach(incarnations::put);
+                if (isIncluded) {
+                    incarnations.put(self, incarnation);
+                }
+                view = Optional.of(new FleetView(self, incarnations, liveShare));
+            }
+            return view.get();
+        }
+    }
+
+    private static final class Member {
+        private MemberEntry entry;
+        private long updatedAtNanos;
+
+        Member(MemberEntry entry, long updatedAtNanos) {
+            this.entry = entry;
+            this.updatedAtNanos = updatedAtNanos;
+        }
+
         boolean isDown(long nowNanos) {
             return nowNanos - updatedAtNanos > DOWN_NANOS;
         }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -15,8 +15,12 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.msgpack.core.buffer.ArrayBufferInput;
 
-/** Encodes and decodes the messages of the mesh. */
+/**
+ * Encodes and decodes the messages of the mesh. An instance reuses its buffers for one message after the other and is
+ * not thread-safe.
+ */
 final class MeshCodec {
     private static final int VERSION = 4;
     private static final int MEMBERS = 1;
@@ -31,13 +35,20 @@
     private static final int TOKEN_REQUEST = 9;
     private static final int TOKEN_GRANT = 10;
 
-    private MeshCodec() {}
+    private final MessageBufferPacker reusedPacker = MessagePack.newDefaultBufferPacker();
+    private final ArrayBufferInput reusedInput = new ArrayBufferInput(new byte[0]);
+    private final MessageUnpacker reusedUnpacker = MessagePack.newDefaultUnpacker(reusedInput);
 
     static byte[] encode(MeshMessage message) {
-        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            packer.packInt(VERSION);
-            write(packer, message);
-            return packer.toByteArray();
+        return new MeshCodec().encodeNext(message);
+    }
+
+    byte[] encodeNext(MeshMessage message) {
+        try {
+            reusedPacker.clear();
+            reusedPacker.packInt(VERSION);
+            write(reusedPacker, message);
+            return reusedPacker.toByteArray();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -49,7 +60,22 @@
      * @throws IOException if the bytes are not a message of this version
      */
     static MeshMessage decode(byte[] bytes) throws IOException {
-        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+        return new MeshCodec().decodeNext(bytes, bytes.length);
+    }
+
+    /**
+     * Reads a message from the first bytes of an array.
+     *
+     * @throws IOException if they are not a message of this version
+     */
+    MeshMessage decodeNext(byte[] bytes, int length) throws IOException {
+        reusedInput.reset(bytes, 0, length);
+        reusedUnpacker.reset(reusedInput);
+        return decode(reusedUnpacker);
+    }
+
+    private static MeshMessage decode(MessageUnpacker unpacker) throws IOException {
+        try {
             int version = unpacker.unpackInt();
             if (version != VERSION) {
                 throw new IOException("expected version " + VERSION + " but got " + version);
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshSocket.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshSocket.java
@@ -2,109 +2,166 @@
 
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.IoEventLoop;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.nio.NioIoOps;
+import io.netty.channel.nio.NioSelectableChannelIoHandle;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.nio.channels.SelectionKey;
 import java.util.Collection;
+import java.util.List;
 import java.util.function.BiConsumer;
 
-/** Sends and receives the datagrams of the mesh, on the control thread. */
+/**
+ * Sends and receives the datagrams of the mesh, on the control thread. The socket is registered with the event loop
+ * directly: a VM of a large fleet receives about 100 small datagrams a second, and a channel pipeline takes more
+ * processor time for each of them than the system call and the decoding.
+ */
 public final class MeshSocket {
-    /** The largest datagram over IPv4, in bytes. */
+    /** The largest datagram that is sent or received, in bytes. */
     private static final int MAX_DATAGRAM_BYTES = 16 * 1024;
 
     private static final int RECEIVE_BUFFER_BYTES = 1024 * 1024;
 
+    private final DatagramChannel channel;
     private final EventLog log;
-    private Channel channel;
+    private final MeshCodec codec = new MeshCodec();
+    private final ByteBuffer outgoing = ByteBuffer.allocateDirect(MAX_DATAGRAM_BYTES);
 
-    private MeshSocket(EventLog log) {
+    private MeshSocket(DatagramChannel channel, EventLog log) {
+        this.channel = channel;
         this.log = log;
     }
 
     /**
      * Opens the socket.
      *
+     * @param loop a loop for NIO
      * @param receiver receives the sender and the message
+     * @throws UncheckedIOException if the address can't be used
      */
     public static MeshSocket open(
             EventLoop loop,
             InetSocketAddress address,
             BiConsumer<InetSocketAddress, MeshMessage> receiver,
             EventLog log) {
-        MeshSocket socket = new MeshSocket(log);
-        socket.channel = new Bootstrap()
-                .group(loop)
-                .channelFactory(NioDatagramChannel::new)
-                .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new ReusedReceiveBuffer(MAX_DATAGRAM_BYTES))
-                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-                .handler(new Receiver(receiver, log))
-                .bind(address)
-                .syncUninterruptibly()
-                .channel();
+        MeshSocket socket = new MeshSocket(bind(address), log);
+        ((IoEventLoop) loop)
+                .register(new Receiver(socket.channel, receiver, log))
+                .addListener((Future<IoRegistration> registered) -> {
+                    if (registered.isSuccess()) {
+                        registered.getNow().submit(NioIoOps.READ);
+                    } else {
+                        log.important("mesh-socket-failed", Fields.of("reason", registered.cause()));
+                    }
+                });
         return socket;
     }
 
+    private static DatagramChannel bind(InetSocketAddress address) {
+        try {
+            DatagramChannel channel = DatagramChannel.open();
+            try {
+                channel.configureBlocking(false);
+                channel.setOption(StandardSocketOptions.SO_RCVBUF, RECEIVE_BUFFER_BYTES);
+                channel.bind(address);
+                return channel;
+            } catch (IOException e) {
+                channel.close();
+                throw e;
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException("can't receive datagrams at " + address, e);
+        }
+    }
+
     /** Sends a message to one VM; it may be lost. */
     public void send(InetSocketAddress receiver, MeshMessage message) {
-        write(receiver, MeshCodec.encode(message));
-        channel.flush();
+        send(List.of(receiver), message);
     }
 
-    /** Sends a message to several VMs. */
+    /** Sends a message to several VMs; it may be lost on the way to each of them. */
     public void send(Collection<InetSocketAddress> receivers, MeshMessage message) {
         if (!receivers.isEmpty()) {
-            send(receivers, MeshCodec.encode(message));
+            send(receivers, codec.encodeNext(message));
         }
     }
 
     /** Sends an encoded message to several VMs. */
     void send(Collection<InetSocketAddress> receivers, byte[] bytes) {
-        receivers.forEach(receiver -> write(receiver, bytes));
-        channel.flush();
-    }
-
-    private void write(InetSocketAddress receiver, byte[] bytes) {
         if (bytes.length > MAX_DATAGRAM_BYTES) {
             log.important("mesh-message-too-long", Fields.of("bytes", bytes.length));
             return;
         }
-        channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver));
+        outgoing.clear().put(bytes).flip();
+        for (InetSocketAddress receiver : receivers) {
+            outgoing.rewind();
+            write(receiver);
+        }
+    }
+
+    private void write(InetSocketAddress receiver) {
+        if (receiver.isUnresolved()) {
+            return;
+        }
+        try {
+            channel.send(outgoing, receiver);
+        } catch (IOException e) {
+            // Lost like any other datagram; a VM that is down or unreachable is detected by its silence.
+            outgoing.rewind();
+        }
     }
 
-    private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+    /** Reads one datagram for each event, so that other work of the thread goes on while many arrive. */
+    private static final class Receiver extends NioSelectableChannelIoHandle<DatagramChannel> {
         private final BiConsumer<InetSocketAddress, MeshMessage> receiver;
         private final EventLog log;
+        private final MeshCodec codec = new MeshCodec();
+        private final ByteBuffer incoming = ByteBuffer.allocateDirect(MAX_DATAGRAM_BYTES);
+        private final byte[] bytes = new byte[MAX_DATAGRAM_BYTES];
 
-        Receiver(BiConsumer<InetSocketAddress, MeshMessage> receiver, EventLog log) {
+        Receiver(DatagramChannel channel, BiConsumer<InetSocketAddress, MeshMessage> receiver, EventLog log) {
+            super(channel);
             this.receiver = receiver;
             this.log = log;
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+        protected void handle(DatagramChannel channel, SelectionKey key) {
             try {
-                receiver.accept(packet.sender(), MeshCodec.decode(ByteBufUtil.getBytes(packet.content())));
-            } catch (IOException e) {
-                log.important(
-                        "mesh-message-unreadable", Fields.of("sender", packet.sender(), "reason", e.getMessage()));
+                incoming.clear();
+                InetSocketAddress sender = (InetSocketAddress) channel.receive(incoming);
+                if (sender != null) {
+                    int length = incoming.flip().remaining();
+                    incoming.get(bytes, 0, length);
+                    apply(sender, length);
+                }
+            } catch (IOException | RuntimeException e) {
+                log.important("mesh-socket-failed", Fields.of("reason", e));
             }
         }
 
         @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            log.important("mesh-socket-failed", Fields.of("reason", cause));
+        public void close() throws IOException {
+            selectableChannel().close();
+        }
+
+        private void apply(InetSocketAddress sender, int length) {
+            MeshMessage message;
+            try {
+                message = codec.decodeNext(bytes, length);
+            } catch (IOException e) {
+                log.important("mesh-message-unreadable", Fields.of("sender", sender, "reason", e.getMessage()));
+                return;
+            }
+            receiver.accept(sender, message);
         }
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/RecentVms.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/RecentVms.java
@@ -18,6 +18,11 @@
 
     private final Map<InetSocketAddress, Long> seenNanos = new HashMap<>();
     private long calledNanos;
+    private Set<InetSocketAddress> countedLive = Set.of();
+    private int counted;
+    private boolean isCountCurrent;
+    /** A time before which none of the counted VMs expires. */
+    private long expiryNanos;
 
     RecentVms(long nowNanos) {
         calledNanos = nowNanos;
@@ -27,19 +32,35 @@
     void record(MemberEntry entry, long nowNanos) {
         advance(nowNanos);
         if (entry.isLeaving()) {
-            seenNanos.remove(entry.address());
+            isCountCurrent &= seenNanos.remove(entry.address()) == null;
         } else {
-            seenNanos.put(entry.address(), nowNanos);
+            isCountCurrent &= seenNanos.put(entry.address(), nowNanos) != null;
         }
     }
 
-    /** Returns the number of VMs that were live in the last minute or are live. */
+    /**
+     * Returns the number of VMs that were live in the last minute or are live. The VMs are counted again only after
+     * some have changed.
+     *
+     * @param live the live VMs, another instance after they have changed
+     */
     int count(Set<InetSocketAddress> live, long nowNanos) {
         advance(nowNanos);
+        if (isCountCurrent && live == countedLive && nowNanos - expiryNanos <= 0) {
+            return counted;
+        }
         seenNanos.values().removeIf(seen -> nowNanos - seen > RETENTION_NANOS);
         Set<InetSocketAddress> all = new HashSet<>(seenNanos.keySet());
         all.addAll(live);
-        return all.size();
+        counted = all.size();
+        countedLive = live;
+        isCountCurrent = true;
+        long oldestNanos = nowNanos;
+        for (long seen : seenNanos.values()) {
+            oldestNanos = Math.min(oldestNanos, seen);
+        }
+        expiryNanos = oldestNanos + RETENTION_NANOS;
+        return counted;
     }
 
     private void advance(long nowNanos) {
--- a/coppershelf/src/test/java/io/coppershelf/mesh/MembershipTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/MembershipTest.java
@@ -65,6 +65,50 @@
         assertThat(ranks.size()).isAtLeast(20);
     }
 
+    /** Guards against receivers, relays and token lenders that are kept from an earlier state of the fleet. */
+    @Test
+    void whatIsKeptOfTheLiveVmsChangesWithEachOfThem() {
+        Membership vm = new Membership(address(1), "here", 1, List.of(), new Random(1), 0);
+        merge(vm, new MemberEntry(address(2), "here", 1, 1, false, 7202, false), 0);
+        merge(vm, new MemberEntry(address(3), "here", 1, 1, false, 7203, false), SECOND);
+        assertThat(vm.relays(SECOND)).containsExactly(address(7202), address(7203));
+        assertThat(vm.quotaView(SECOND).incarnations()).containsEntry(address(3), 1L);
+        assertThat(vm.quotaView(2 * SECOND)).isSameInstanceAs(vm.quotaView(2 * SECOND));
+
+        merge(vm, new MemberEntry(address(3), "here", 1, 2, false, 7203, true), 2 * SECOND);
+        assertThat(vm.relays(2 * SECOND)).containsExactly(address(7202));
+
+        merge(vm, new MemberEntry(address(3), "here", 2, 3, false, 7203, false), 3 * SECOND);
+        assertThat(vm.quotaView(3 * SECOND).incarnations()).containsEntry(address(3), 2L);
+
+        merge(vm, new MemberEntry(address(3), "here", 2, 4, true, 7203, false), 4 * SECOND);
+        assertThat(vm.quotaView(4 * SECOND).incarnations()).doesNotContainKey(address(3));
+
+        assertThat(vm.audience(Membership.DOWN_NANOS).all()).containsExactly(address(2), address(3));
+        assertThat(vm.audience(Membership.DOWN_NANOS + 1).all()).containsExactly(address(3));
+        vm.recordContact(address(3), 9 * SECOND);
+        assertThat(vm.live(9 * SECOND + Membership.DOWN_NANOS)).containsExactly(address(3));
+        assertThat(vm.live(9 * SECOND + Membership.DOWN_NANOS + 1)).isEmpty();
+    }
+
+    /** Guards against the wrong order where the ages of the entries decide which ones are sent. */
+    @Test
+    void entriesOfTheMostRecentlyHeardVmsAreSentFirst() {
+        Membership vm = new Membership(address(1), "here", 1, List.of(), new Random(1), 0);
+        IntStream.range(0, 30)
+                .forEach(i -> merge(vm, new MemberEntry(address(10 + i), "here", 1, 1, false), i * SECOND / 10));
+        List<InetSocketAddress> sent = vm.nextEntries(false, 3 * SECOND).stream()
+                .map(MemberEntry::address)
+                .toList();
+        List<InetSocketAddress> expected = new ArrayList<>(List.of(address(1)));
+        IntStream.range(0, 16).forEach(i -> expected.add(address(39 - i)));
+        assertThat(sent).containsExactlyElementsIn(expected).inOrder();
+    }
+
+    private static void merge(Membership vm, MemberEntry entry, long nowNanos) {
+        vm.merge(List.of(entry), nowNanos);
+    }
+
     /** Guards against requests that are handed to a VM which reaches no server either, or is about to stop. */
     @Test
     void requestsAreHandedToVmsThatReachServersAndStay() {
