Lose fewer requests to servers that fail for some seconds

Callers got fast 500s from servers in failure episodes. On the deployment with 37 VMs, 560 of 11,946 requests of one service failed, 3.6 for each episode.

At servers with long requests also early returns: requests that ran when the episode began still succeeded and outweighed its failures.

Changes: - The success of a request that was sent before the server's last failed answer is no evidence. - From a second after a failure, requests that can be retried test the server, at most one a second; with their successes it returns to service. - A request that can't be retried uses servers that had an episode in the last 30 s only when the others have no free slot, and servers whose failures this VM learns from summaries after the last slot of its own data centre.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServerTracker.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServerTracker.java
@@ -27,6 +27,9 @@
      */
     private static final long IDLE_FOR_LAST_ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(1700);
 
+    /** Smallest time between two requests that test the health of a server. */
+    private static final long TEST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1000);
+
     private volatile Predicate<String> covered = dataCentre -> true;
     private final Map<Long, Long> lastRequestNanos = new ConcurrentHashMap<>();
 
@@ -70,6 +73,11 @@
         return isFloorKept ? List.of() : idle;
     }
 
+    /** Returns whether a server has had no request for so long that another one may test its health. */
+    boolean allowsTest(long serverCode, long nowNanos) {
+        return isIdle(serverCode, TEST_INTERVAL_NANOS, nowNanos);
+    }
+
     private boolean isIdle(long serverCode, long limitNanos, long nowNanos) {
         Long lastRequest = lastRequestNanos.get(serverCode);
         return lastRequest == null || nowNanos - lastRequest > limitNanos;
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -35,6 +35,16 @@
      * rounds, since objectives are about three times the typical latency and a request in the third round is late.
      */
     private static final double QUEUED_ROUND_LOSS = 0.3;
+    /**
+     * Loss of a request that can't be retried at a server that had a failure episode lately. The server is used when
+     * the others have no free slot, but before requests are queued.
+     */
+    private static final double UNSTABLE_LOSS = 0.07;
+    /**
+     * Loss of a request that can't be retried at a server of whose failures this VM learns late, from summaries. The
+     * last slot of a server in the own data centre is used first.
+     */
+    private static final double STALE_LOSS = 0.05;
     /** Loss at a cold server, which is still slow after its start. */
     private static final double COLD_LOSS = 0.04;
     /** Loss due to the traffic of small bodies between data centres. */
@@ -105,33 +115,52 @@
      */
     public Optional<BackendServer> choose(
             List<BackendServer> servers, RequestKind kind, boolean isLastAttempt, Set<String> excluded, long nowNanos) {
-        Optional<BackendServer> forFloor = kind.isLarge()
-                ? Optional.empty()
-                : best(
-                        idleServers.idleServers(
-                                eligibleForFloor(servers, nowNanos),
-                                server -> stats(server).code(),
-                                isLastAttempt,
-                                nowNanos),
-                        kind,
-                        isLastAttempt,
-                        excluded,
-                        nowNanos);
-        return forFloor.isPresent() ? forFloor : best(servers, kind, isLastAttempt, excluded, nowNanos);
+        if (kind.isLarge()) {
+            return best(servers, kind, isLastAttempt, excluded, nowNanos);
+        }
+        List<BackendServer> idle = idleServers(servers, isLastAttempt, nowNanos);
+        return best(idle, kind, isLastAttempt, excluded, nowNanos)
+                .or(() -> isLastAttempt
+                        ? Optional.empty()
+                        : best(serversToTest(servers, nowNanos), kind, false, excluded, nowNanos))
+                .or(() -> best(servers, kind, isLastAttempt, excluded, nowNanos));
     }
 
-    /** Returns the servers that are not in backoff, have a free slot and may get a request that tests their health. */
+    /** Returns the servers one of which has to get the next request to keep the floor; empty if the floor is kept. */
+    List<BackendServer> idleServers(List<BackendServer> servers, boolean isLastAttempt, long nowNanos) {
+        return idleServers.idleServers(
+                eligibleForFloor(servers, nowNanos), server -> stats(server).code(), isLastAttempt, nowNanos);
+    }
+
+    /** Returns the servers that failed lately and should get a request that can be retried, to test their health. */
+    private List<BackendServer> serversToTest(List<BackendServer> servers, long nowNanos) {
+        return servers.stream()
+                .filter(server ->
+                        estimates.estimate(stats(server).key(), nowNanos).isTestDue(nowNanos))
+                .filter(server -> idleServers.allowsTest(stats(server).code(), nowNanos))
+                .filter(server -> isAvailable(server, nowNanos))
+                .toList();
+    }
+
+    /** Returns the servers that are available and may get a request that tests their health. */
     private List<BackendServer> eligibleForFloor(List<BackendServer> servers, long nowNanos) {
         return servers.stream()
-                .filter(server -> idleServers.covers(server.dataCentre()))
-                .filter(server -> !stats(server).isInBackoff(nowNanos))
-                .filter(server -> remainingWaitNanos(server, nowNanos) == 0)
-                .filter(server -> estimatedLoad(server, nowNanos) < server.slots())
+                .filter(server -> isAvailable(server, nowNanos))
                 .filter(server ->
                         estimates.estimate(stats(server).key(), nowNanos).allowsTrialRequest(nowNanos))
                 .toList();
     }
 
+    /**
+     * Returns whether this VM sees the requests to the server, and the server is not in backoff and has a free slot.
+     */
+    private boolean isAvailable(BackendServer server, long nowNanos) {
+        return idleServers.covers(server.dataCentre())
+                && !stats(server).isInBackoff(nowNanos)
+                && remainingWaitNanos(server, nowNanos) == 0
+                && estimatedLoad(server, nowNanos) < server.slots();
+    }
+
     /** Returns the time until the server is likely to accept a request; 0 if it accepts one now. */
     long remainingWaitNanos(BackendServer server, long nowNanos) {
         ServerStats stats = stats(server);
@@ -155,6 +184,11 @@
         return slots == 0 ? 0 : load / slots;
     }
 
+    /** Returns whether the success of a request that was sent at a time shows that the server is healthy now. */
+    public boolean isSuccessCurrent(BackendServer server, long sentNanos) {
+        return estimates.estimate(stats(server).key(), sentNanos).isCurrent(sentNanos);
+    }
+
     /** Returns whether the server is more likely to be unhealthy than others. */
     public boolean isSuspected(BackendServer server, long nowNanos) {
         return estimates.estimate(stats(server).key(), nowNanos).isSuspected(nowNanos);
@@ -228,14 +262,16 @@
 
     /** Returns the expected loss of sending the request to the server, as a share of the request's value. */
     double loss(BackendServer server, RequestKind kind, boolean isLastAttempt, long nowNanos) {
-        double failure = UNHEALTHY_FAILURE_SHARE
-                * estimates.estimate(stats(server).key(), nowNanos).unhealthyProbabilityAt(nowNanos);
+        HealthEstimate estimate = estimates.estimate(stats(server).key(), nowNanos);
+        double failure = UNHEALTHY_FAILURE_SHARE * estimate.unhealthyProbabilityAt(nowNanos);
         double loss = failure * (isLastAttempt ? LAST_ATTEMPT_FAILURE_LOSS : RETRYABLE_FAILURE_LOSS);
         loss += loadLoss(estimatedLoad(server, nowNanos), server.slots());
         loss += stats(server).isInBackoff(nowNanos) ? BACKOFF_LOSS : 0;
         if (!server.dataCentre().equals(dataCentre)) {
             loss += kind.isLarge() ? REMOTE_LARGE_LOSS : REMOTE_LOSS;
         }
+        loss += isLastAttempt && estimate.isUnstable(nowNanos) ? UNSTABLE_LOSS : 0;
+        loss += isLastAttempt && !idleServers.covers(server.dataCentre()) ? STALE_LOSS : 0;
         loss += server.isCold() ? COLD_LOSS : 0;
         return loss + JITTER_LOSS * random.nextDouble();
     }
--- a/coppershelf/src/main/java/io/coppershelf/health/estimate/HealthEstimate.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/estimate/HealthEstimate.java
@@ -10,8 +10,13 @@
  * @param unhealthyProbability the probability at the time of the last observation, between 0 and 1
  * @param atNanos the monotonic time of the last observation
  * @param failedNanos the monotonic time of the last negative observation, {@link Long#MIN_VALUE} before the first
+ * @param errorNanos the monotonic time of the last failed answer that this VM knows of, {@link Long#MIN_VALUE} before
+ *     the first; a server that refuses requests since it is full has none
+ * @param episodeNanos the monotonic time at which the server was last known to be in a failure episode,
+ *     {@link Long#MIN_VALUE} if it never was
  */
-public record HealthEstimate(double unhealthyProbability, long atNanos, long failedNanos) {
+public record HealthEstimate(
+        double unhealthyProbability, long atNanos, long failedNanos, long errorNanos, long episodeNanos) {
     /**
      * Mean duration of the unhealthy state, in seconds; gray failures in the expected workloads last several seconds.
      */
@@ -36,6 +41,15 @@
      * request.
      */
     private static final double TRIAL_DELAY_SECONDS = 11;
+    /**
+     * Smallest probability at which a failure belongs to an episode; a single failure of a server with recent successes
+     * does not reach it.
+     */
+    private static final double EPISODE_PROBABILITY = 0.85;
+    /** Time for which a server is unstable after an episode, in seconds; episodes of a server recur after about 9 s. */
+    private static final double UNSTABLE_SECONDS = 30;
+    /** Time after a failure from which a request that can be retried tests the server, in seconds. */
+    private static final double TEST_DELAY_SECONDS = 1;
     /** Tolerance for comparisons of probabilities. */
     private static final double TOLERANCE = 1e-6;
     /**
@@ -46,7 +60,7 @@
 
     /** Returns the estimate for a server without observations. */
     public static HealthEstimate initial(long nowNanos) {
-        return new HealthEstimate(BASE_PROBABILITY, nowNanos, Long.MIN_VALUE);
+        return new HealthEstimate(BASE_PROBABILITY, nowNanos, Long.MIN_VALUE, Long.MIN_VALUE, Long.MIN_VALUE);
     }
 
     /** Returns the estimate after an observation. */
@@ -54,14 +68,25 @@
         double before = unhealthyProbabilityAt(nowNanos);
         double odds = before / (1 - before) * observation.likelihoodRatio();
         double after = Math.min(MAX_PROBABILITY, Math.max(MIN_PROBABILITY, odds / (1 + odds)));
-        return new HealthEstimate(after, nowNanos, observation.isNegative() ? nowNanos : failedNanos);
+        boolean isError = observation.isError();
+        return new HealthEstimate(
+                after,
+                nowNanos,
+                observation.isNegative() ? nowNanos : failedNanos,
+                isError ? nowNanos : errorNanos,
+                isError && after >= EPISODE_PROBABILITY ? nowNanos : episodeNanos);
     }
 
     /** Returns an estimate with a probability that other VMs have determined at this time. */
     HealthEstimate adopting(double probability, long nowNanos) {
         double bounded = Math.min(MAX_PROBABILITY, Math.max(MIN_PROBABILITY, probability));
         boolean isFailing = bounded >= SUSPECTED_PROBABILITY && bounded >= unhealthyProbabilityAt(nowNanos);
-        return new HealthEstimate(bounded, nowNanos, isFailing ? nowNanos : failedNanos);
+        return new HealthEstimate(
+                bounded,
+                nowNanos,
+                isFailing ? nowNanos : failedNanos,
+                errorNanos,
+                isFailing && bounded >= EPISODE_PROBABILITY ? nowNanos : episodeNanos);
     }
 
     /** Returns the probability at a time; without observations it converges to {@link #BASE_PROBABILITY}. */
@@ -91,6 +116,26 @@
         return isOldFailure || unhealthyProbabilityAt(nowNanos) <= BASE_PROBABILITY + TOLERANCE;
     }
 
+    /** Returns whether the server had a failure episode lately, so that it is likely to have another one soon. */
+    public boolean isUnstable(long nowNanos) {
+        return episodeNanos != Long.MIN_VALUE && secondsSince(episodeNanos, nowNanos) < UNSTABLE_SECONDS;
+    }
+
+    /**
+     * Returns whether the success of a request is evidence on the present health. One that was sent before the last
+     * failure is not: requests that run when an episode begins still succeed, and would hide it.
+     */
+    public boolean isCurrent(long sentNanos) {
+        return errorNanos == Long.MIN_VALUE || sentNanos - errorNanos > 0;
+    }
+
+    /** Returns whether requests that can be retried should show whether the server still fails. */
+    public boolean isTestDue(long nowNanos) {
+        return errorNanos != Long.MIN_VALUE
+                && secondsSince(errorNanos, nowNanos) >= TEST_DELAY_SECONDS
+                && isUncertain(nowNanos);
+    }
+
     private static double secondsSince(long fromNanos, long nowNanos) {
         return Math.max(0, nowNanos - fromNanos) / (double) TimeUnit.SECONDS.toNanos(1);
     }
--- a/coppershelf/src/main/java/io/coppershelf/health/estimate/Observation.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/estimate/Observation.java
@@ -55,4 +55,9 @@
     public boolean isNegative() {
         return this != SUCCESS;
     }
+
+    /** Returns whether the server answered and the answer is a failure. */
+    boolean isError() {
+        return this == FAILURE || this == GARBLED;
+    }
 }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
@@ -153,7 +153,7 @@
         }
         answer = Optional.of(received);
         boolean isFailure = received.status() >= STATUS_SERVER_ERROR;
-        if (isFailure || !isStallReported) {
+        if (isFailure || (!isStallReported && context.chooser().isSuccessCurrent(server, startedNanos))) {
             context.state().reports().observed(server, isFailure ? Observation.FAILURE : Observation.SUCCESS);
         }
         end(isFailure ? End.FAILED : End.ANSWERED, "status " + received.status());
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/ServerChooserTest.java
@@ -156,6 +156,35 @@
         assertThat(chosen(RequestKind.ONCE)).hasValue(near);
     }
 
+    /** Guards against requests that are lost to find out whether an episode is over. */
+    @Test
+    void serverThatFailedIsTestedOnlyByRequestsThatCanBeRetried() {
+        observeSuccesses(near);
+        estimates.observe(far.key(), Observation.FAILURE, 0);
+        idleServers.recordRequest(chooser.stats(near).code(), 2 * SECOND);
+        assertThat(chooser.choose(List.of(far, near), RequestKind.REPEATABLE, false, Set.of(), 2 * SECOND))
+                .hasValue(far);
+        assertThat(chooser.choose(List.of(far, near), RequestKind.ONCE, true, Set.of(), 2 * SECOND))
+                .hasValue(near);
+        idleServers.recordRequest(chooser.stats(far).code(), 2 * SECOND);
+        assertThat(chooser.choose(List.of(far, near), RequestKind.REPEATABLE, false, Set.of(), 2 * SECOND))
+                .hasValue(near);
+    }
+
+    /** Guards against the loss of a request each time that a server's next episode begins. */
+    @Test
+    void requestThatCannotBeRetriedAvoidsAServerWithARecentEpisode() {
+        for (int i = 0; i < 3; i++) {
+            estimates.observe(near.key(), Observation.FAILURE, 0);
+        }
+        for (int i = 0; i < 20; i++) {
+            observeSuccesses(near);
+        }
+        observeSuccesses(far);
+        assertThat(chosen(RequestKind.ONCE)).hasValue(far);
+        assertThat(chosen(RequestKind.REPEATABLE)).hasValue(near);
+    }
+
     @Test
     void serverThatCouldNotBeReachedIsAvoidedForAWhile() {
         observeSuccesses(near);
--- a/coppershelf/src/test/java/io/coppershelf/health/estimate/HealthEstimateTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/health/estimate/HealthEstimateTest.java
@@ -79,6 +79,37 @@
         assertThat(estimate.isSuspected(0)).isFalse();
     }
 
+    /** Guards against requests that run when an episode begins, and whose successes would hide it. */
+    @Test
+    void successOfARequestThatWasSentBeforeTheLastErrorIsNoEvidence() {
+        HealthEstimate estimate = HealthEstimate.initial(0);
+        assertThat(estimate.isCurrent(0)).isTrue();
+        HealthEstimate failed = estimate.after(Observation.FAILURE, SECOND);
+        assertThat(failed.isCurrent(SECOND / 2)).isFalse();
+        assertThat(failed.isCurrent(2 * SECOND)).isTrue();
+    }
+
+    /** Guards against suspicion of servers that refuse requests since they are full. */
+    @Test
+    void refusalsDoNotMakeSuccessesOutdated() {
+        HealthEstimate estimate = HealthEstimate.initial(0).after(Observation.SHED, SECOND);
+        assertThat(estimate.isCurrent(SECOND / 2)).isTrue();
+        assertThat(estimate.isTestDue(3 * SECOND)).isFalse();
+    }
+
+    @Test
+    void serverIsUnstableForAWhileAfterAnEpisodeAndNotAfterASingleFailure() {
+        HealthEstimate estimate = HealthEstimate.initial(0);
+        for (int i = 0; i < 10; i++) {
+            estimate = estimate.after(Observation.SUCCESS, 0);
+        }
+        HealthEstimate failedOnce = estimate.after(Observation.FAILURE, 0);
+        assertThat(failedOnce.isUnstable(0)).isFalse();
+        HealthEstimate failed = failedOnce.after(Observation.FAILURE, 0).after(Observation.FAILURE, 0);
+        assertThat(failed.isUnstable(20 * SECOND)).isTrue();
+        assertThat(failed.isUnstable(40 * SECOND)).isFalse();
+    }
+
     @Test
     void onlyObservationsThatOthersDoNotExpectAreReported() {
         HealthEstimates estimates = new HealthEstimates();
