Explain a 429 by the cap, the tokens held and the age of the share

Callers over a usage cap saw a 429, and 'coppershelf explain' ended with 'cause: over-usage-cap, ' and no reason: the log line of the request had no reason, and the age counted from the first request of the tenant on the VM, or from the answer of a VM that is no granter.

The line now has a reason, and the age only after a grant or denial. The last line of explain names the tenant's cap, the tokens that the VM held, the age of the share and the time to retry.

--- a/coppershelf/src/main/java/io/coppershelf/cli/internal/RequestTrace.java
+++ b/coppershelf/src/main/java/io/coppershelf/cli/internal/RequestTrace.java
@@ -67,6 +67,22 @@
         String last = attempt.map(line -> "; last attempt at " + line.field("server") + " ended " + line.field("end")
                         + " (" + line.field("detail") + ")")
                 .orElse("");
-        return "cause: " + end.get().field("outcome") + ", " + end.get().field("reason") + last;
+        return "cause: " + end.get().field("outcome") + ", " + end.get().field("reason") + cap(end.get()) + last;
+    }
+
+    /** Returns the usage cap and the share of it by which a request was refused, empty for other ends. */
+    private static String cap(LogLine end) {
+        if (end.field("capPerSecond").isEmpty()) {
+            return "";
+        }
+        String age = end.field("shareAgeMs");
+        return " of tenant %s: cap %s/s, burst %s; tokens held %s; age of the share %s; retry after %s ms"
+                .formatted(
+                        end.field("tenant"),
+                        end.field("capPerSecond"),
+                        end.field("capBurst"),
+                        end.field("tokens"),
+                        age.isEmpty() ? "unknown, no grant or denial yet" : age + " ms",
+                        end.field("retryAfterMs"));
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/UsageCapGate.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/UsageCapGate.java
@@ -107,8 +107,11 @@
             context.metrics().recordRequest(kind.code(), System.nanoTime() - request.readAtNanos());
             context.metrics().recordCapRefusal(refusal.isOverCap());
             log(kind, refusal);
-            String reason = refusal.isOverCap() ? "over the usage cap" : "the usage cap can't be checked";
-            sink.fail(kind, reason, Optional.of(refusal.retryAfter()));
+            sink.fail(kind, reason(refusal), Optional.of(refusal.retryAfter()));
+        }
+
+        private static String reason(Refusal refusal) {
+            return refusal.isOverCap() ? "over the usage cap" : "the usage cap can't be checked";
         }
 
         private void log(ErrorKind kind, Refusal refusal) {
@@ -120,8 +123,9 @@
                     "capPerSecond", tenant.cap().map(UsageCap::perSecond).orElse(0.0),
                     "capBurst", tenant.cap().map(UsageCap::burst).orElse(0.0),
                     "tokens", refusal.tokens(),
-                    "shareAgeMs", refusal.shareAge().toMillis(),
+                    "reason", reason(refusal),
                     "retryAfterMs", refusal.retryAfter().toMillis());
+            refusal.shareAge().ifPresent(age -> fields.put("shareAgeMs", age.toMillis()));
             context.log().important("request-refused", fields);
         }
 
--- a/coppershelf/src/main/java/io/coppershelf/quota/Borrower.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/Borrower.java
@@ -100,11 +100,12 @@
         }
         BorrowerTenant.Exchange exchange = tenant.exchange.orElseThrow();
         tenant.exchange = Optional.empty();
-        tenant.answeredNanos = nowNanos;
         if (grant.granted() > 0) {
+            tenant.answeredNanos = Optional.of(nowNanos);
             tenant.clearDenial(granter);
             tenant.purse.add(granter, grant.granted(), exchange.sentNanos() + TOKEN_NANOS);
         } else if (grant.retryAfterMillis() > 0) {
+            tenant.answeredNanos = Optional.of(nowNanos);
             tenant.recordDenial(granter, nowNanos + TimeUnit.MILLISECONDS.toNanos(grant.retryAfterMillis()));
         } else {
             tenant.recordAbsence(granter, nowNanos);
@@ -270,7 +271,7 @@
             BorrowerTenant tenant, BorrowerTenant.Waiting waiting, long nowNanos, Consumer<QuotaAction> actions) {
         Optional<Duration> deniedFor = tenant.deniedFor(orders.view().live(), nowNanos);
         boolean isOverCap = tenant.isDenied || deniedFor.isPresent();
-        Duration shareAge = Duration.ofNanos(nowNanos - tenant.answeredNanos);
+        Optional<Duration> shareAge = tenant.answeredNanos.map(answered -> Duration.ofNanos(nowNanos - answered));
         actions.accept(new QuotaAction.Refuse(
                 waiting.requestNumber(), new Refusal(isOverCap, spread(deniedFor), tenant.purse.size(), shareAge)));
     }
--- a/coppershelf/src/main/java/io/coppershelf/quota/BorrowerTenant.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/BorrowerTenant.java
@@ -41,13 +41,14 @@
     /** Whether a granter of this round answered that it has no tokens. */
     boolean isDenied;
 
-    long answeredNanos;
+    /** The time of the last grant or denial. */
+    Optional<Long> answeredNanos = Optional.empty();
+
     long usedNanos;
 
     BorrowerTenant(String name, long nowNanos) {
         this.name = name;
         purse = new TokenPurse(name);
-        answeredNanos = nowNanos;
         usedNanos = nowNanos;
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/quota/Refusal.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/Refusal.java
@@ -1,6 +1,7 @@
 package io.coppershelf.quota;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Why a request got no token.
@@ -8,6 +9,6 @@
  * @param isOverCap whether a granter answered that no tokens are left; else no granter answered
  * @param retryAfter the time after which the caller may try again
  * @param tokens the number of tokens that this VM holds for the tenant
- * @param shareAge the time since the last answer of a granter, zero if there was none
+ * @param shareAge the time since the last grant or denial of a granter, empty if there was none
  */
-public record Refusal(boolean isOverCap, Duration retryAfter, int tokens, Duration shareAge) {}
+public record Refusal(boolean isOverCap, Duration retryAfter, int tokens, Optional<Duration> shareAge) {}
--- a/coppershelf/src/test/java/io/coppershelf/cli/internal/RequestTraceTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/cli/internal/RequestTraceTest.java
@@ -35,6 +35,23 @@
                         "cause: server-lost, the answer was lost; last attempt at i-1 ended LOST (closed by the server)");
     }
 
+    /** Guards against a 429 of which an operator can't tell whether the cap or an old share of it refused. */
+    @Test
+    void causeOfARefusalByAUsageCapNamesTheCapTheTokensAndTheAgeOfTheShare() {
+        String line = "{\"at\":1,\"vm\":\"vm-1\",\"event\":\"request-refused\",\"request\":\"r\",\"outcome\":"
+                + "\"over-usage-cap\",\"tenant\":\"t1\",\"capPerSecond\":153.0,\"capBurst\":20.0,\"tokens\":2,"
+                + "\"reason\":\"over the usage cap\",\"retryAfterMs\":250%s}";
+        String expected =
+                "cause: over-usage-cap, over the usage cap of tenant t1: cap 153.0/s, burst 20.0; tokens held 2;"
+                        + " age of the share %s; retry after 250 ms";
+        assertThat(causeOf(line.formatted(",\"shareAgeMs\":40"))).isEqualTo(expected.formatted("40 ms"));
+        assertThat(causeOf(line.formatted(""))).isEqualTo(expected.formatted("unknown, no grant or denial yet"));
+    }
+
+    private static String causeOf(String line) {
+        return RequestTrace.cause("r", LogLine.parse(line).stream().toList());
+    }
+
     @Test
     void unknownRequestHasNoTrace() {
         assertThat(RequestTrace.of("other", lines)).isEmpty();
--- a/coppershelf/src/test/java/io/coppershelf/proxy/UsageCapTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/UsageCapTest.java
@@ -81,13 +81,19 @@
             proxy.serve(server);
             caller.send(request("k1"));
             tokens.await(1);
-            tokens.listeners.get(0).refused(new Refusal(true, Duration.ofMillis(1250), 0, Duration.ZERO));
+            tokens.listeners
+                    .get(0)
+                    .refused(new Refusal(true, Duration.ofMillis(1250), 2, Optional.of(Duration.ofMillis(40))));
             RawCaller.Reply overCap = caller.reply();
             assertThat(overCap.status()).isEqualTo(429);
             assertThat(overCap.header("Retry-After")).isEqualTo("1.25");
+            String line = proxy.logLines().get(proxy.logLines().size() - 1);
+            assertThat(line).contains("tenant=capped, capPerSecond=5.0, capBurst=5.0, tokens=2");
+            assertThat(line).contains("shareAgeMs=40");
+            assertThat(line).doesNotContain("k1");
             caller.send(request("k1"));
             tokens.await(2);
-            tokens.listeners.get(1).refused(new Refusal(false, Duration.ofMillis(1500), 0, Duration.ZERO));
+            tokens.listeners.get(1).refused(new Refusal(false, Duration.ofMillis(1500), 0, Optional.empty()));
             assertThat(caller.reply().status()).isEqualTo(503);
             assertThat(server.received()).isEmpty();
             assertThat(proxy.server().requestsInFlight()).isEqualTo(0);
