Count VMs that are down once in the share of the tokens that a part issues

In a divided fleet, tenants below their caps were still refused long after the other half had been replaced: 20% of the requests of small tenants and a quarter of those of the largest, 8 to 20 s after the division.

The sample of answers now drops VMs that are down, leave or restart. VMs that are considered live and do not answer reduce the tokens as before, so both sides of a one-way failure still issue at most 1.25 x the rate together.

--- a/coppershelf/src/main/java/io/coppershelf/quota/AnswerSample.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/AnswerSample.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -16,7 +17,13 @@
     /** Size of the sample: 16 s, so that half of it is renewed when the other side considers this VM down. */
     private static final int SIZE = 32;
 
-    private final Deque<Boolean> answers = new ArrayDeque<>();
+    /**
+     * Smallest number of answers that the share is computed from; VMs that were not asked yet count as answering. Half
+     * of the sample, which is left when half of the VMs are down.
+     */
+    private static final int MIN_ANSWERS = SIZE / 2;
+
+    private final Deque<Answer> answers = new ArrayDeque<>();
     private Optional<InetSocketAddress> asked = Optional.empty();
     private long askedNumber;
     private long askedNanos;
@@ -40,28 +47,38 @@
     }
 
     /** Records that a VM is silent although it answered in the past. */
-    void recordSilence() {
-        add(false);
+    void recordSilence(InetSocketAddress vm) {
+        add(new Answer(vm, false));
     }
 
     /** Records an answer if it is that to the last question. */
     void recordAnswer(InetSocketAddress vm, long number) {
         if (number == askedNumber && asked.filter(vm::equals).isPresent()) {
             asked = Optional.empty();
-            add(true);
+            add(new Answer(vm, true));
         }
     }
 
-    /** Returns the share; VMs that were not asked yet count as answering. */
+    /**
+     * Removes the answers of VMs that are not among these. The share of live VMs accounts for those that are down;
+     * their silence must not reduce the tokens a second time.
+     */
+    void retain(Set<InetSocketAddress> live) {
+        answers.removeIf(answer -> !live.contains(answer.vm()));
+    }
+
+    /** Returns the share. */
     double share() {
-        long silent = answers.stream().filter(isAnswered -> !isAnswered).count();
-        return 1 - silent / (double) SIZE;
+        long silent = answers.stream().filter(answer -> !answer.isAnswered()).count();
+        return 1 - silent / (double) Math.max(MIN_ANSWERS, answers.size());
     }
 
-    private void add(boolean isAnswered) {
-        answers.addLast(isAnswered);
+    private void add(Answer answer) {
+        answers.addLast(answer);
         if (answers.size() > SIZE) {
             answers.removeFirst();
         }
     }
+
+    private record Answer(InetSocketAddress vm, boolean isAnswered) {}
 }
--- a/coppershelf/src/main/java/io/coppershelf/quota/QuotaNode.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/QuotaNode.java
@@ -54,6 +54,7 @@
         orders.use(view);
         // A VM that was restarted may run another build, and answer again.
         earlierBuilds.retain(unchanged);
+        sample.retain(unchanged);
         silent.retain(unchanged);
         granter.viewChanged(isLiveChanged, nowNanos);
         if (isLiveChanged) {
@@ -144,7 +145,7 @@
         QuotaMessage.Request question = new QuotaMessage.Request("", 0, --lastProbe, 0, 0, 0);
         sample.ask(vm, question.number(), nowNanos)
                 .filter(earlierBuilds::isGranting)
-                .ifPresent(unanswered -> sample.recordSilence());
+                .ifPresent(sample::recordSilence);
         queued.addLast(new QuotaAction.Send(vm, question));
     }
 
