--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -25,6 +25,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -32,6 +33,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
@@ -152,6 +154,15 @@
         return state;
     }
 
+    /** Returns the processor time that the traffic thread has used. */
+    long trafficCpuNanos() {
+        CompletableFuture<Long> nanos = new CompletableFuture<>();
+        group.next()
+                .execute(
+                        () -> nanos.complete(ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime()));
+        return nanos.join();
+    }
+
     RawCaller connect() throws IOException {
         return RawCaller.connect(address);
     }
