--- a/coppershelf/src/main/java/io/coppershelf/quota/Borrower.java
+++ b/coppershelf/src/main/java/io/coppershelf/quota/Borrower.java
@@ -41,6 +41,7 @@
     private final Random random;
     private final SilentVms silent;
     private final EarlierBuilds earlierBuilds;
+    private final BatchSize batch = new BatchSize();
     private final Map<String, BorrowerTenant> tenants = new HashMap<>();
     /** The tenants with requests that wait or messages without an answer. */
     private final Set<BorrowerTenant> pending = new LinkedHashSet<>();
@@ -62,6 +63,7 @@
         adaptCap(tenant);
         tenant.usedNanos = nowNanos;
         tenant.demand.record(nowNanos);
+        batch.record(nowNanos);
         if (tenant.waiting.isEmpty() && tenant.exchange.isEmpty()) {
             tenant.startRound();
         }
@@ -100,11 +102,12 @@
         }
         BorrowerTenant.Exchange exchange = tenant.exchange.orElseThrow();
         tenant.exchange = Optional.empty();
-        tenant.answeredNanos = nowNanos;
         if (grant.granted() > 0) {
+            tenant.answeredNanos = Optional.of(nowNanos);
             tenant.clearDenial(granter);
             tenant.purse.add(granter, grant.granted(), exchange.sentNanos() + TOKEN_NANOS);
         } else if (grant.retryAfterMillis() > 0) {
+            tenant.answeredNanos = Optional.of(nowNanos);
             tenant.recordDenial(granter, nowNanos + TimeUnit.MILLISECONDS.toNanos(grant.retryAfterMillis()));
         } else {
             tenant.recordAbsence(granter, nowNanos);
@@ -149,13 +152,18 @@
         if (isSilent || silent.isSkipped(exchange.granter(), nowNanos)) {
             tenant.isGranterMissing = true;
             tenant.exchange = Optional.empty();
-        } else if (age >= REPEAT_NANOS && !exchange.isRepeated() && !silent.isCutOff()) {
+        } else if (age >= REPEAT_NANOS && !exchange.isRepeated() && isRepeatable(exchange.granter())) {
             tenant.exchange = Optional.of(
                     new BorrowerTenant.Exchange(exchange.granter(), exchange.request(), exchange.sentNanos(), true));
             actions.accept(new QuotaAction.Send(exchange.granter(), exchange.request()));
         }
     }
 
+    /** Messages to VMs that are probably out of reach are not repeated, since the number of messages is bounded. */
+    private boolean isRepeatable(InetSocketAddress granter) {
+        return !silent.isCutOff() && !silent.wasSilent(granter);
+    }
+
     /** Returns unused tokens and removes the state of idle tenants. */
     void sweep(long nowNanos, Consumer<QuotaAction> actions) {
         tenants.values().forEach(tenant -> {
@@ -207,7 +215,7 @@
     }
 
     private void ask(BorrowerTenant tenant, long nowNanos, Consumer<QuotaAction> actions) {
-        int wanted = tenant.wanted(nowNanos);
+        int wanted = tenant.wanted(batch.seconds(nowNanos), nowNanos);
         if (wanted == 0) {
             return;
         }
@@ -270,7 +278,7 @@
             BorrowerTenant tenant, BorrowerTenant.Waiting waiting, long nowNanos, Consumer<QuotaAction> actions) {
         Optional<Duration> deniedFor = tenant.deniedFor(orders.view().live(), nowNanos);
         boolean isOverCap = tenant.isDenied || deniedFor.isPresent();
-        Duration shareAge = Duration.ofNanos(nowNanos - tenant.answeredNanos);
+        Optional<Duration> shareAge = tenant.answeredNanos.map(answered -> Duration.ofNanos(nowNanos - answered));
         actions.accept(new QuotaAction.Refuse(
                 waiting.requestNumber(), new Refusal(isOverCap, spread(deniedFor), tenant.purse.size(), shareAge)));
     }
