--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerReachability.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerReachability.java
@@ -88,6 +88,14 @@
         isCutOff = isCutOff || unreachable.size() - failedBeforeDoubt.size() >= Math.min(CUT_OFF_SERVERS, knownServers);
     }
 
+    /**
+     * Returns the time until a check may become due if no new connection fails: that of the silence of all servers
+     * which have requests, and without requests the shortest silence after the next one.
+     */
+    public long nanosToSilence(long nowNanos) {
+        return inFlight == 0 ? SILENCE_NANOS : quietSinceNanos + SILENCE_NANOS - nowNanos;
+    }
+
     /** Returns whether a connection is being opened to the server to settle a doubt or to find a path that is back. */
     public boolean isChecking(String serverId) {
         return beingChecked.contains(serverId);
--- a/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/MeshCodec.java
@@ -10,6 +10,8 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -34,6 +36,8 @@
     private static final int SUMMARY_REQUEST = 11;
     private static final int TOKEN_REQUEST = 9;
     private static final int TOKEN_GRANT = 10;
+    /** Bounds the memory for observations that is allocated before they are read. */
+    private static final int MAX_EXPECTED_OBSERVATIONS = 64;
 
     private final MessageBufferPacker reusedPacker = MessagePack.newDefaultBufferPacker();
     private final ArrayBufferInput reusedInput = new ArrayBufferInput(new byte[0]);
@@ -102,9 +106,7 @@
                     new MeshMessage.ServerReport(
                             MessageFields.readList(unpacker, MessageUnpacker::unpackLong),
                             MessageFields.readList(unpacker, MessageUnpacker::unpackInt),
-                            MessageFields.readList(unpacker, MeshCodec::readObservation).stream()
-                                    .flatMap(Optional::stream)
-                                    .toList());
+                            readObservations(unpacker));
                 case SERVER_LEAVING -> new MeshMessage.ServerLeaving(unpacker.unpackString());
                 case SERVER_LIMIT ->
                     new MeshMessage.ServerLimit(
@@ -185,12 +187,18 @@
         packer.packInt(observed.observation().code());
     }
 
-    /** Returns an observation, empty if only later builds know its kind. */
-    private static Optional<MeshMessage.ServerObservation> readObservation(MessageUnpacker unpacker)
-            throws IOException {
-        String serverKey = unpacker.unpackString();
-        return Observation.ofCode(unpacker.unpackInt())
-                .map(observation -> new MeshMessage.ServerObservation(serverKey, observation));
+    /** Reads the observations of a report but those whose kind only later builds know. */
+    private static List<MeshMessage.ServerObservation> readObservations(MessageUnpacker unpacker) throws IOException {
+        int size = unpacker.unpackArrayHeader();
+        List<MeshMessage.ServerObservation> observations = new ArrayList<>(Math.min(size, MAX_EXPECTED_OBSERVATIONS));
+        for (int i = 0; i < size; i++) {
+            String serverKey = unpacker.unpackString();
+            Optional<Observation> observation = Observation.ofCode(unpacker.unpackInt());
+            if (observation.isPresent()) {
+                observations.add(new MeshMessage.ServerObservation(serverKey, observation.get()));
+            }
+        }
+        return observations;
     }
 
     private static void writeCrash(MessagePacker packer, MeshMessage.RequestCrash crash) throws IOException {
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
@@ -32,6 +32,7 @@
     private final ServerSummaries summaries;
     private final Map<String, ServerReporter> reportersByDataCentre = new HashMap<>();
     private ServerList servers = ServerList.EMPTY;
+    private Optional<Audience> limitedTo = Optional.empty();
 
     ServerReporting(
             EventLoop loop,
@@ -138,9 +139,9 @@
     private void apply(InetSocketAddress sender, MeshMessage.ServerReport report) {
         long now = System.nanoTime();
         observations.recordLoad(sender, report, now);
-        report.observations()
-                .forEach(observed ->
-                        observations.observe(observed.serverKey(), observed.observation(), sender, changeLog, now));
+        for (MeshMessage.ServerObservation observed : report.observations()) {
+            observations.observe(observed.serverKey(), observed.observation(), sender, changeLog, now);
+        }
     }
 
     private void reportLimit(BackendServer server, Optional<Double> perSecond) {
@@ -161,10 +162,15 @@
      */
     void sendDue(ServerList serversInForce) {
         servers = serversInForce;
-        reportersByDataCentre.keySet().forEach(this::send);
         long now = System.nanoTime();
+        for (Map.Entry<String, ServerReporter> reporter : reportersByDataCentre.entrySet()) {
+            send(reporter.getKey(), reporter.getValue(), now);
+        }
         Audience audience = messenger.audience(now);
-        observations.idleServers().limitTo(audience::covers);
+        if (limitedTo.isEmpty() || limitedTo.get() != audience) {
+            limitedTo = Optional.of(audience);
+            observations.idleServers().limitTo(audience::covers);
+        }
         if (!audience.summaryReceivers().isEmpty()) {
             summaries
                     .pollDue(servers, observations, this::inFlight, now)
@@ -190,9 +196,13 @@
     }
 
     private void send(String dataCentre) {
-        long now = System.nanoTime();
-        Optional.ofNullable(reportersByDataCentre.get(dataCentre))
-                .flatMap(reporter -> reporter.pollDue(now))
-                .ifPresent(report -> messenger.sendReport(dataCentre, report, now));
+        send(dataCentre, reportersByDataCentre.get(dataCentre), System.nanoTime());
+    }
+
+    private void send(String dataCentre, ServerReporter reporter, long nowNanos) {
+        Optional<MeshMessage.ServerReport> report = reporter.pollDue(nowNanos);
+        if (report.isPresent()) {
+            messenger.sendReport(dataCentre, report.get(), nowNanos);
+        }
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ServerSummaries.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ServerSummaries.java
@@ -94,12 +94,15 @@
     }
 
     private static MeshMessage.ServerSummary summary(List<Entry> entries) {
-        return new MeshMessage.ServerSummary(
-                entries.stream().map(Entry::code).toList(),
-                entries.stream().map(Entry::inFlight).toList(),
-                entries.stream()
-                        .map(entry -> (int) Math.round(entry.unhealthyProbability * PER_MILLE))
-                        .toList());
+        List<Long> codes = new ArrayList<>(entries.size());
+        List<Integer> inFlight = new ArrayList<>(entries.size());
+        List<Integer> unhealthyPerMille = new ArrayList<>(entries.size());
+        for (Entry entry : entries) {
+            codes.add(entry.code);
+            inFlight.add(entry.inFlight);
+            unhealthyPerMille.add((int) Math.round(entry.unhealthyProbability * PER_MILLE));
+        }
+        return new MeshMessage.ServerSummary(codes, inFlight, unhealthyPerMille);
     }
 
     private record Entry(long code, int inFlight, double unhealthyProbability) {}
--- a/coppershelf/src/main/java/io/coppershelf/proxy/PathObserver.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/PathObserver.java
@@ -17,18 +17,26 @@
     private final ServerChooser chooser;
     private final ControlState state;
     private final EventLog log;
+    private final Runnable onFailure;
 
+    /**
+     * Creates an observer.
+     *
+     * @param onFailure is run after a new connection has failed, as checks may become due
+     */
     PathObserver(
             ServerReachability reachability,
             ServerPaths paths,
             ServerChooser chooser,
             ControlState state,
-            EventLog log) {
+            EventLog log,
+            Runnable onFailure) {
         this.reachability = reachability;
         this.paths = paths;
         this.chooser = chooser;
         this.state = state;
         this.log = log;
+        this.onFailure = onFailure;
     }
 
     @Override
@@ -43,6 +51,7 @@
 
     @Override
     public Collection<BackendServer> failed(BackendServer server) {
+        onFailure.run();
         // A path that is known or suspected to be down shows nothing new of the paths to other servers, and its checks
         // fail in a row although servers on other paths are reached. A server that was replaced has ended.
         boolean isRegistered = isRegistered(server);
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -57,12 +57,11 @@
 
     private static final int MAX_CHUNK_BYTES = 64 * 1024;
     private static final long SWEEP_MILLIS = 1000;
-    /** Interval at which checks of the paths to servers become due. */
-    private static final long CHECK_MILLIS = 50;
     /** Room for the headers that a VM adds to the head of a caller's request. */
     private static final int RELAY_HEAD_BYTES = 512;
 
     private final TrafficContext context;
+    private final PathCheckTimer pathChecks;
     private final ChannelGroup callers;
     private final List<Channel> listeners = new ArrayList<>();
 
@@ -92,10 +91,12 @@
         HttpConnector connector = new HttpConnector(loop, CONNECT_TIMEOUT, bodies);
         ServerReachability reachability = new ServerReachability(random);
         ServerPaths paths = new ServerPaths();
+        pathChecks = new PathCheckTimer(loop, reachability, paths);
         ServerChooser chooser =
                 new ServerChooser(dataCentre, estimates, fleetLoad, idleServers, limits, state::fleetPosition, random);
         ServerConnectionPool pool = new ServerConnectionPool(
-                connector, Optional.of(new PathObserver(reachability, paths, chooser, state, log)));
+                connector,
+                Optional.of(new PathObserver(reachability, paths, chooser, state, log, pathChecks::connectionFailed)));
         ReachabilityMonitor monitor = new ReachabilityMonitor(reachability, paths, pool, state, log, isReachable -> {
             state.serversReachable(isReachable);
             if (isReachable) {
@@ -135,8 +136,7 @@
         listeners.add(bind(address, false));
         relayAddress.ifPresent(relay -> listeners.add(bind(relay, true)));
         context.loop().scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
-        context.loop()
-                .scheduleWithFixedDelay(context.monitor()::poll, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        pathChecks.start(context.monitor()::poll);
         context.loop().scheduleWithFixedDelay(context.admission()::report, 1, 1, TimeUnit.SECONDS);
     }
 
--- a/coppershelf/src/test/java/io/coppershelf/proxy/PathObserverTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/PathObserverTest.java
@@ -39,7 +39,8 @@
                     state::fleetPosition,
                     new Random(1)),
             state,
-            EventLog.NONE);
+            EventLog.NONE,
+            () -> {});
 
     PathObserverTest() {
         state.use(new Catalog(Optional.empty(), ServerList.of(Catalogs.revision(1), servers)));
