--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -101,6 +101,7 @@
                 settings.dataCentre(),
                 settings.features().isPrioritized(),
                 settings.features().isReusePreferred(),
+                settings.bodyLimit(),
                 registry,
                 log);
         state.start(settings.meshAddress());
