Keep the place of callers that return, and count bytes as work

Callers that returned at once drew a new place each time, so that they were often admitted too late, and each return lowered the share of admitted requests, from which the least part of each priority follows. The place now follows from a hash of caller, path and body length, which changes every 5 s so that equal requests are not refused for long. The share counts a request once, however often it returns. A body adds its transfer time at 10 Mbit/s to the work of a request. capacity-short names the ages of its inputs.

--- a/coppershelf/src/main/java/io/coppershelf/overload/AdmissionRequest.java
+++ b/coppershelf/src/main/java/io/coppershelf/overload/AdmissionRequest.java
@@ -5,7 +5,9 @@
  *
  * @param rank the urgency, 0 is the most urgent
  * @param route the name of the route, under which the work of its requests is learned
- * @param tenant the name of the tenant, empty if it has none
+ * @param place a hash of what the caller sends, which decides on the place among requests of the same rank and work; a
+ *     refused request that returns has the same one
+ * @param bytes the length of the body
  * @param remainingNanos the time until the caller must have an answer
  */
-public record AdmissionRequest(int rank, String route, String tenant, long remainingNanos) {}
+public record AdmissionRequest(int rank, String route, long place, int bytes, long remainingNanos) {}
--- a/coppershelf/src/main/java/io/coppershelf/overload/FillEstimate.java
+++ b/coppershelf/src/main/java/io/coppershelf/overload/FillEstimate.java
@@ -50,7 +50,7 @@
      * @param counted what was counted at this time, with the answered request
      */
     void recordAnswer(int load, CountedLoad counted, long nowNanos) {
-        (counted.isComplete() ? ofCounts : ofSummaries).record(load, Math.max(0, counted.load() - 1));
+        (counted.isComplete() ? ofCounts : ofSummaries).record(load + 1, Math.max(1, counted.load()));
         double stated = (double) load / Math.max(1, counted.slots());
         double elapsed = hasAnswers ? nowNanos - answeredAtNanos : 0;
         double weight = 1 - Math.exp(-elapsed / AVERAGE_NANOS);
--- a/coppershelf/src/main/java/io/coppershelf/overload/ServiceAdmission.java
+++ b/coppershelf/src/main/java/io/coppershelf/overload/ServiceAdmission.java
@@ -2,9 +2,7 @@
 
 import io.coppershelf.catalog.BackendServer;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -20,31 +18,30 @@
     private static final double SHARE_WEIGHT = 0.02;
     /** Largest effect of the work on the order among requests of one rank. */
     private static final double MAX_WORK_RATIO = 4;
-    /** Largest number of series of positions; beyond it all start anew. */
-    private static final int MAX_SERIES = 8192;
-    /** The fractional part of the golden ratio: its multiples are spread evenly at any length. */
-    private static final double GOLDEN_RATIO = 0.6180339887498949;
+    /** Work of a byte of a body: its transfer to and from a VM with 10 Mbit/s. */
+    private static final double NANOS_PER_BYTE = 1600;
+    /** An odd number close to 2^64 times the golden ratio, which spreads similar hashes evenly. */
+    private static final long GOLDEN_RATIO = 0x9E3779B97F4A7C15L;
 
     /** Time between two updates; the counts of other VMs arrive less often. */
     private static final long UPDATE_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
     private final RankOrder ranks;
-    private final Random random;
     private final AdmissionThreshold threshold;
     private final FillEstimate fillEstimate = new FillEstimate();
     private final LearnedWork work = new LearnedWork();
     private final FreedPlaces places;
     private final RetryAdvice advice;
     private final ShortageCounts counts;
-    private final Map<String, Double> positions = new HashMap<>();
+    private double arrivedForAdmitted = 1;
     private double admittedShare = 1;
+    private double typicalBytes;
     private boolean isUpdated;
     private long updatedNanos;
 
     /** Creates a control for a service whose requests have these ranks. */
     public ServiceAdmission(RankOrder ranks, Random random) {
         this.ranks = ranks;
-        this.random = random;
         threshold = new AdmissionThreshold(ranks.size());
         places = new FreedPlaces(random);
         advice = new RetryAdvice(random);
@@ -123,13 +120,16 @@
             return new AdmissionDecision.Admit();
         }
         int index = ranks.index(request.rank());
-        double requestWork = work.of(request.route());
+        typicalBytes += SHARE_WEIGHT * (request.bytes() - typicalBytes);
+        double requestWork = work.of(request.route()) + NANOS_PER_BYTE * request.bytes();
         double within = within(request, requestWork);
         boolean isInFloor = within < FLOOR_SHARE * admittedShare;
         double position = isInFloor ? 0 : index + within;
         boolean isTooLate = isTooLate(request);
         boolean isAdmitted = !isTooLate && (isInFloor || position < threshold.value() || places.hasFreeSlot(nowNanos));
-        admittedShare += SHARE_WEIGHT * ((isAdmitted ? 1 : 0) - admittedShare);
+        if (isAdmitted) {
+            recordAdmitted(index, within);
+        }
         counts.record(index, isAdmitted);
         if (isAdmitted) {
             return new AdmissionDecision.Admit();
@@ -147,29 +147,40 @@
         return new AdmissionDecision.Refuse(reason, retryAfter, inputs);
     }
 
+    /**
+     * Takes an admitted request into the share of admitted ones. Refused requests are not counted, since callers may
+     * return any number of times; the part of the places that is admitted shows how many there are.
+     */
+    private void recordAdmitted(int index, double within) {
+        double admittedPart = Math.min(1, Math.max(threshold.value() - index, FLOOR_SHARE * admittedShare));
+        if (within < admittedPart) {
+            arrivedForAdmitted += SHARE_WEIGHT * (1 / admittedPart - arrivedForAdmitted);
+            admittedShare = 1 / arrivedForAdmitted;
+        }
+    }
+
     private boolean isTooLate(AdmissionRequest request) {
         double waitNanos = threshold.queuedRounds() * work.ofAll();
         return request.remainingNanos() < waitNanos + work.leastOf(request.route());
     }
 
     /**
-     * Returns the place of a request among those of its rank, from 0 to 1: evenly spread for each route and tenant, and
-     * earlier for less work.
+     * Returns the place of a request among those of its rank, from 0 to 1: evenly spread, and earlier for less work. It
+     * follows from the request, so that a caller that returns at once has the same place at each VM.
      */
     private double within(AdmissionRequest request, double requestWork) {
-        if (positions.size() >= MAX_SERIES) {
-            positions.clear();
-        }
-        double place = positions.merge(
-                request.route() + '\n' + request.tenant(),
-                random.nextDouble(),
-                (before, start) -> (before + GOLDEN_RATIO) % 1);
-        double ratio = Math.max(1 / MAX_WORK_RATIO, Math.min(MAX_WORK_RATIO, requestWork / work.ofAll()));
+        double place = ((request.place() * GOLDEN_RATIO) >>> 11) * 0x1p-53;
+        double typicalWork = work.ofAll() + NANOS_PER_BYTE * typicalBytes;
+        double ratio = Math.max(1 / MAX_WORK_RATIO, Math.min(MAX_WORK_RATIO, requestWork / typicalWork));
         return ratio <= 1 ? place * ratio : 1 - (1 - place) / ratio;
     }
 
     /** Returns the counts since the last call, and starts new ones. */
-    public ShortageCounts.Summary pollCounts() {
-        return counts.poll(threshold.value(), threshold.fill(), threshold.queuedRounds() * work.ofAll());
+    public ShortageCounts.Summary pollCounts(long nowNanos) {
+        return counts.poll(
+                threshold.value(),
+                threshold.fill(),
+                threshold.queuedRounds() * work.ofAll(),
+                fillEstimate.ages(nowNanos));
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/overload/ShortageCounts.java
+++ b/coppershelf/src/main/java/io/coppershelf/overload/ShortageCounts.java
@@ -19,7 +19,7 @@
         refused[index] += isAdmitted ? 0 : 1;
     }
 
-    Summary poll(double threshold, double fill, double waitNanos) {
+    Summary poll(double threshold, double fill, double waitNanos, InputAges ages) {
         List<Integer> admittedByRank = new ArrayList<>();
         List<Integer> refusedByRank = new ArrayList<>();
         for (int i = 0; i < offered.length; i++) {
@@ -28,7 +28,7 @@
             offered[i] = 0;
             refused[i] = 0;
         }
-        return new Summary(admittedByRank, refusedByRank, threshold, fill, Duration.ofNanos((long) waitNanos));
+        return new Summary(admittedByRank, refusedByRank, threshold, fill, Duration.ofNanos((long) waitNanos), ages);
     }
 
     /**
@@ -39,9 +39,15 @@
      * @param threshold the threshold at the end, 0 admits nothing beyond the floor
      * @param fill the requests at the servers for each slot
      * @param expectedWait the expected wait in a server's queue
+     * @param ages the ages of what the fill was estimated from
      */
     public record Summary(
-            List<Integer> admitted, List<Integer> refused, double threshold, double fill, Duration expectedWait) {
+            List<Integer> admitted,
+            List<Integer> refused,
+            double threshold,
+            double fill,
+            Duration expectedWait,
+            InputAges ages) {
         /** Copies the lists. */
         public Summary {
             admitted = List.copyOf(admitted);
--- a/coppershelf/src/main/java/io/coppershelf/proxy/AdmissionGate.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/AdmissionGate.java
@@ -27,6 +27,9 @@
  * it; other services are served as if there were no such control. Confined to the traffic thread.
  */
 final class AdmissionGate {
+    /** Time for which equal requests of a caller have the same place; longer than callers wait for an answer. */
+    private static final long PLACE_MILLIS = 5000;
+
     private final boolean isEnabled;
     private final ControlState state;
     private final ServerChooser chooser;
@@ -76,12 +79,24 @@
         AdmissionRequest asked = new AdmissionRequest(
                 resolved.rank(),
                 resolved.route().name(),
-                resolved.tenant().map(tenant -> tenant.name()).orElse(""),
+                place(request, System.currentTimeMillis()),
+                request.body().length,
                 deadlineNanos - nowNanos);
         AdmissionDecision decision = admission.get().decide(asked, nowNanos);
         return decision instanceof AdmissionDecision.Refuse refuse ? Optional.of(refuse) : Optional.empty();
     }
 
+    /**
+     * Returns a hash of what the caller sends. It changes every few seconds, at all VMs about together, so that no
+     * caller is refused for long for requests that are all alike.
+     */
+    private static long place(CallerRequest request, long nowMillis) {
+        long hash = request.caller().hashCode();
+        hash = 31 * hash + request.uri().hashCode();
+        hash = 31 * hash + request.body().length;
+        return 31 * hash + nowMillis / PLACE_MILLIS;
+    }
+
     /** Returns the server for an attempt. */
     Optional<BackendServer> choose(
             String service,
@@ -118,7 +133,7 @@
     /** Logs what was decided since the last call; called once a second. */
     void report() {
         byService.forEach((service, admission) -> {
-            ShortageCounts.Summary summary = admission.pollCounts();
+            ShortageCounts.Summary summary = admission.pollCounts(System.nanoTime());
             metrics.record(service, admission.ranks(), summary, admission.isUnderPressure());
             if (summary.offered() > 0) {
                 log.important(
@@ -130,7 +145,8 @@
                                 "refusedByPriority", byRank(admission.ranks(), summary.refused()),
                                 "threshold", summary.threshold(),
                                 "fill", summary.fill(),
-                                "waitMs", summary.expectedWait().toMillis()));
+                                "waitMs", summary.expectedWait().toMillis(),
+                                "inputs", summary.ages().toString()));
             }
         });
     }
--- a/coppershelf/src/test/java/io/coppershelf/overload/OverloadSimulation.java
+++ b/coppershelf/src/test/java/io/coppershelf/overload/OverloadSimulation.java
@@ -271,7 +271,8 @@
                     new AdmissionRequest(
                             request.kind.rank(),
                             request.kind.name(),
-                            "t" + request.tenant,
+                            request.arrivedNanos,
+                            0,
                             request.arrivedNanos + request.kind.objectiveNanos() - now),
                     now);
         }
--- a/coppershelf/src/test/java/io/coppershelf/overload/ServiceAdmissionTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/overload/ServiceAdmissionTest.java
@@ -61,7 +61,7 @@
     private int refused(int rank, long remainingNanos) {
         int refused = 0;
         for (int i = 0; i < 100; i++) {
-            AdmissionRequest request = new AdmissionRequest(rank, "route", "", remainingNanos);
+            AdmissionRequest request = new AdmissionRequest(rank, "route", i, 0, remainingNanos);
             refused += admission.decide(request, now) instanceof AdmissionDecision.Refuse ? 1 : 0;
         }
         return refused;
