--- a/coppershelf/src/test/java/io/coppershelf/overload/AdmissionShortfallTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/overload/AdmissionShortfallTest.java
@@ -62,4 +62,17 @@
         RunResult result = AdmissionLoadTest.run("first customer at 1.3", OverloadScenario.first(1.3));
         assertWithMessage(result.toString()).that(result.worstWeightError()).isAtMost(0.1);
     }
+
+    /** Guards against control that makes a fault worse: servers with free slots refuse 0.55 of the requests unread. */
+    @Test
+    void asMuchIsServedAsWithoutControlWhileServersRefuseUnread() {
+        OverloadScenario scenario = OverloadScenario.first(0.8).withFault(0.55, 0);
+        RunResult controlled = RunResult.of(scenario, true, 1);
+        assertWithMessage(controlled.toString())
+                .that(controlled.served())
+                .isAtLeast(RunResult.of(scenario, false, 1).served());
+        assertWithMessage(controlled.toString())
+                .that(controlled.served(0))
+                .isAtLeast(Math.max(controlled.served(1), controlled.served(2)));
+    }
 }
