Share the look-ups of servers and the sliding counts, and remove a dead estimate

FleetRetryBudget slid its counts by hand beside SlidingCount, which it uses now. ServerChooser.fill has had no caller since admission estimates the fill itself; the check of servers for trial requests calls isAvailable and hasFreeSlot instead of repeating them, and the loss of a server looks up its statistics once instead of four times, which every request does for every server. Behaviour is as before.

--- a/coppershelf/src/main/java/io/coppershelf/catalog/ServerList.java
+++ b/coppershelf/src/main/java/io/coppershelf/catalog/ServerList.java
@@ -52,6 +52,18 @@
         return acceptingByService.getOrDefault(service, List.of());
     }
 
+    /** Returns the servers of all services that accept new requests. */
+    public List<BackendServer> accepting() {
+        return byId.values().stream().filter(BackendServer::isAccepting).toList();
+    }
+
+    /** Returns whether this incarnation of the server is on the list. */
+    public boolean contains(BackendServer server) {
+        return server(server.id())
+                .filter(known -> known.isSameIncarnation(server))
+                .isPresent();
+    }
+
     /** Returns a server by its id. */
     public Optional<BackendServer> server(String id) {
         return Optional.ofNullable(byId.get(id));
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/FleetRetryBudget.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/FleetRetryBudget.java
@@ -35,18 +35,12 @@
 
     /** Counts a request of a caller. */
     public void countRequest(String service, long nowNanos) {
-        usage(service, nowNanos).requests[BUCKETS - 1]++;
+        usage(service, nowNanos).requests.add(nowNanos);
     }
 
     /** Reverts the count of a request that another VM serves and counts instead. */
     public void uncountRequest(String service, long nowNanos) {
-        int[] requests = usage(service, nowNanos).requests;
-        for (int i = BUCKETS - 1; i >= 0; i--) {
-            if (requests[i] > 0) {
-                requests[i]--;
-                return;
-            }
-        }
+        usage(service, nowNanos).requests.removeLatest(nowNanos);
     }
 
     /**
@@ -59,7 +53,7 @@
         if (!canAcquire(service, fleetSize, nowNanos)) {
             return false;
         }
-        usage(service, nowNanos).retries[BUCKETS - 1]++;
+        usage(service, nowNanos).retries.add(nowNanos);
         return true;
     }
 
@@ -74,49 +68,23 @@
 
     /** Returns the number of retries that this VM may grant in a window. */
     double limit(String service, int fleetSize, long nowNanos) {
-        return USED_SHARE * (ratio * sum(usage(service, nowNanos).requests) + fixedPerWindow / Math.max(1, fleetSize));
+        int requests = usage(service, nowNanos).requests.sum(nowNanos);
+        return USED_SHARE * (ratio * requests + fixedPerWindow / Math.max(1, fleetSize));
     }
 
     /** Returns the number of retries that this VM granted in the last window. */
     int spent(String service, long nowNanos) {
-        return sum(usage(service, nowNanos).retries);
+        return usage(service, nowNanos).retries.sum(nowNanos);
     }
 
     private Usage usage(String service, long nowNanos) {
-        Usage usage = usages.computeIfAbsent(service, name -> new Usage(nowNanos));
-        usage.slideTo(nowNanos, bucketNanos);
-        return usage;
+        return usages.computeIfAbsent(
+                service,
+                name -> new Usage(
+                        new SlidingCount(BUCKETS, bucketNanos, nowNanos),
+                        new SlidingCount(BUCKETS, bucketNanos, nowNanos)));
     }
 
-    private static int sum(int[] counts) {
-        int sum = 0;
-        for (int count : counts) {
-            sum += count;
-        }
-        return sum;
-    }
-
-    /** The counts of one service; the last bucket is the current one. */
-    private static final class Usage {
-        private final int[] requests = new int[BUCKETS];
-        private final int[] retries = new int[BUCKETS];
-        private long bucketStartNanos;
-
-        Usage(long nowNanos) {
-            bucketStartNanos = nowNanos;
-        }
-
-        void slideTo(long nowNanos, long bucketNanos) {
-            long passed = Math.min(BUCKETS, (nowNanos - bucketStartNanos) / bucketNanos);
-            for (long i = 0; i < passed; i++) {
-                System.arraycopy(requests, 1, requests, 0, BUCKETS - 1);
-                System.arraycopy(retries, 1, retries, 0, BUCKETS - 1);
-                requests[BUCKETS - 1] = 0;
-                retries[BUCKETS - 1] = 0;
-            }
-            if (passed > 0) {
-                bucketStartNanos = nowNanos - (nowNanos - bucketStartNanos) % bucketNanos;
-            }
-        }
-    }
+    /** The counts of one service. */
+    private record Usage(SlidingCount requests, SlidingCount retries) {}
 }
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -175,10 +175,7 @@
      * Returns whether this VM sees the requests to the server, and the server is not in backoff and has a free slot.
      */
     private boolean canTakeTrial(BackendServer server, long nowNanos) {
-        return idleServers.covers(server.dataCentre())
-                && !stats(server).isInBackoff(nowNanos)
-                && remainingWaitNanos(server, nowNanos) == 0
-                && estimatedLoad(server, nowNanos) < server.slots();
+        return isCounted(server.dataCentre()) && isAvailable(server, nowNanos) && hasFreeSlot(server, nowNanos);
     }
 
     /** Returns the time until the server is likely to accept a request; 0 if it accepts one now. */
@@ -188,22 +185,6 @@
         return stats.remainingWaitNanos(nowNanos);
     }
 
-    /**
-     * Returns the estimated requests at the servers for each of their slots. Servers that accept no requests of this VM
-     * now do not count; without any other the result is 0.
-     */
-    public double fill(List<BackendServer> servers, long nowNanos) {
-        double load = 0;
-        int slots = 0;
-        for (BackendServer server : servers) {
-            if (remainingWaitNanos(server, nowNanos) == 0 && !stats(server).isInBackoff(nowNanos)) {
-                load += estimatedLoad(server, nowNanos);
-                slots += server.slots();
-            }
-        }
-        return slots == 0 ? 0 : load / slots;
-    }
-
     /** Returns whether the success of a request that was sent at a time shows that the server is healthy now. */
     public boolean isSuccessCurrent(BackendServer server, long sentNanos) {
         return estimates.estimate(stats(server).key(), sentNanos).isCurrent(sentNanos);
@@ -231,7 +212,10 @@
 
     /** Returns the estimated number of requests that the server has from all VMs. */
     double estimatedLoad(BackendServer server, long nowNanos) {
-        ServerStats stats = stats(server);
+        return estimatedLoad(stats(server), nowNanos);
+    }
+
+    private double estimatedLoad(ServerStats stats, long nowNanos) {
         return stats.estimatedLoad(fleetLoad.inFlightOfOthers(stats.code()), nowNanos);
     }
 
@@ -310,23 +294,24 @@
 
     /** Returns the expected loss of sending the request to the server, as a share of the request's value. */
     double loss(BackendServer server, RequestKind kind, boolean isLastAttempt, long nowNanos) {
-        HealthEstimate estimate = estimates.estimate(stats(server).key(), nowNanos);
+        ServerStats stats = stats(server);
+        HealthEstimate estimate = estimates.estimate(stats.key(), nowNanos);
         double failure = UNHEALTHY_FAILURE_SHARE * estimate.unhealthyProbabilityAt(nowNanos);
         double loss = failure * (isLastAttempt ? LAST_ATTEMPT_FAILURE_LOSS : RETRYABLE_FAILURE_LOSS);
-        loss += loadLoss(estimatedLoad(server, nowNanos), server.slots());
-        loss += stats(server).isInBackoff(nowNanos) ? BACKOFF_LOSS : 0;
+        loss += loadLoss(estimatedLoad(stats, nowNanos), server.slots());
+        loss += stats.isInBackoff(nowNanos) ? BACKOFF_LOSS : 0;
         if (!server.dataCentre().equals(dataCentre)) {
             loss += kind.isLarge() ? REMOTE_LARGE_LOSS : REMOTE_LOSS;
         }
         loss += isLastAttempt && estimate.isUnstable(nowNanos) ? UNSTABLE_LOSS : 0;
-        loss += isLastAttempt && !idleServers.covers(server.dataCentre()) ? STALE_LOSS : 0;
+        loss += isLastAttempt && !isCounted(server.dataCentre()) ? STALE_LOSS : 0;
         loss += server.isCold() ? COLD_LOSS : 0;
-        loss += needsNewConnection(server, kind, nowNanos) ? NEW_CONNECTION_LOSS : 0;
+        loss += needsNewConnection(stats, kind, nowNanos) ? NEW_CONNECTION_LOSS : 0;
         return loss + JITTER_LOSS * random.nextDouble();
     }
 
-    private boolean needsNewConnection(BackendServer server, RequestKind kind, long nowNanos) {
-        return reuse.isPresent() && !stats(server).hasIdleConnection(reuse.get().maxIdleNanos(kind), nowNanos);
+    private boolean needsNewConnection(ServerStats stats, RequestKind kind, long nowNanos) {
+        return reuse.isPresent() && !stats.hasIdleConnection(reuse.get().maxIdleNanos(kind), nowNanos);
     }
 
     private static double loadLoss(double estimatedLoad, int slots) {
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerPaths.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerPaths.java
@@ -141,8 +141,8 @@
 
     /** Removes what is known of servers that are no longer registered. */
     public void retain(ServerList servers) {
-        troubled.values().removeIf(path -> !isRegistered(servers, path.server));
-        proofs.values().removeIf(proof -> !isRegistered(servers, proof.server));
+        troubled.values().removeIf(path -> !servers.contains(path.server));
+        proofs.values().removeIf(proof -> !servers.contains(proof.server));
     }
 
     private List<BackendServer> raiseDoubt(
@@ -187,12 +187,6 @@
         return one.service().equals(other.service()) || one.dataCentre().equals(other.dataCentre());
     }
 
-    private static boolean isRegistered(ServerList servers, BackendServer server) {
-        return servers.server(server.id())
-                .filter(known -> known.isSameIncarnation(server))
-                .isPresent();
-    }
-
     private record Failure(String serverId, long atNanos) {}
 
     private record Proof(BackendServer server, long atNanos) {}
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/SlidingCount.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/SlidingCount.java
@@ -19,6 +19,17 @@
         counts[0]++;
     }
 
+    /** Removes the latest event, if there is one. */
+    void removeLatest(long nowNanos) {
+        slideTo(nowNanos);
+        for (int i = 0; i < counts.length; i++) {
+            if (counts[i] > 0) {
+                counts[i]--;
+                return;
+            }
+        }
+    }
+
     /** Returns the events of the whole window. */
     int sum(long nowNanos) {
         return sum(counts.length, nowNanos);
--- a/coppershelf/src/main/java/io/coppershelf/proxy/PathObserver.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/PathObserver.java
@@ -79,17 +79,11 @@
     }
 
     private boolean isRegistered(BackendServer server) {
-        return state.catalog()
-                .servers()
-                .server(server.id())
-                .filter(known -> known.isSameIncarnation(server))
-                .isPresent();
+        return state.catalog().servers().contains(server);
     }
 
     private Collection<BackendServer> acceptingServers() {
-        return state.catalog().servers().all().stream()
-                .filter(BackendServer::isAccepting)
-                .toList();
+        return state.catalog().servers().accepting();
     }
 
     private static Map<String, Object> fields(BackendServer server) {
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ReachabilityMonitor.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ReachabilityMonitor.java
@@ -77,8 +77,6 @@
     }
 
     private Collection<BackendServer> acceptingServers() {
-        return state.catalog().servers().all().stream()
-                .filter(BackendServer::isAccepting)
-                .toList();
+        return state.catalog().servers().accepting();
     }
 }
