Report servers that accept requests and get none

Of a healthy server that has had no request for seconds, no log line or metric told, nor whether it was eligible for one.

Each VM now shows once a second how many servers had no request for two seconds, by the reason: healthy, suspected, or unavailable. It counts the servers whose requests it sees: all in a small fleet, those of its data centre in a large one.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServerTracker.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServerTracker.java
@@ -78,7 +78,8 @@
         return isIdle(serverCode, TEST_INTERVAL_NANOS, nowNanos);
     }
 
-    private boolean isIdle(long serverCode, long limitNanos, long nowNanos) {
+    /** Returns whether a server has had no request for a time. */
+    boolean isIdle(long serverCode, long limitNanos, long nowNanos) {
         Long lastRequest = lastRequestNanos.get(serverCode);
         return lastRequest == null || nowNanos - lastRequest > limitNanos;
     }
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -165,16 +165,25 @@
     /** Returns the servers that may get a request that tests their health. */
     private List<BackendServer> eligibleForFloor(List<BackendServer> servers, long nowNanos) {
         return servers.stream()
-                .filter(server -> canTakeTrial(server, nowNanos))
-                .filter(server ->
-                        estimates.estimate(stats(server).key(), nowNanos).allowsTrialRequest(nowNanos))
+                .filter(server -> canTakeTrial(server, nowNanos) && allowsTrial(server, nowNanos))
                 .toList();
     }
 
+    /** Returns whether the health of the server does not speak against a request. */
+    boolean allowsTrial(BackendServer server, long nowNanos) {
+        return estimates.estimate(stats(server).key(), nowNanos).allowsTrialRequest(nowNanos);
+    }
+
+    /** Returns whether this VM sees the requests to the server, and there was none for some time. */
+    boolean isIdle(BackendServer server, long idleNanos, long nowNanos) {
+        return isCounted(server.dataCentre())
+                && idleServers.isIdle(stats(server).code(), idleNanos, nowNanos);
+    }
+
     /**
      * Returns whether this VM sees the requests to the server, and the server is not in backoff and has a free slot.
      */
-    private boolean canTakeTrial(BackendServer server, long nowNanos) {
+    boolean canTakeTrial(BackendServer server, long nowNanos) {
         return isCounted(server.dataCentre()) && isAvailable(server, nowNanos) && hasFreeSlot(server, nowNanos);
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -69,6 +69,7 @@
     private final ChannelGroup callers;
     private final BodyLimit bodyLimit;
     private final MemoryMetrics memoryMetrics;
+    private final IdleServerReport idleServerReport;
     private final List<Channel> listeners = new ArrayList<>();
 
     /**
@@ -112,6 +113,7 @@
         if (isReusePreferred) {
             chooser.preferReuse(RequestWriter::maxIdleNanos);
         }
+        idleServerReport = new IdleServerReport(chooser, registry, log);
         ServerConnectionPool pool = new ServerConnectionPool(
                 connector,
                 Optional.of(new PathObserver(reachability, paths, chooser, state, log, pathChecks::connectionFailed)));
@@ -206,6 +208,7 @@
 
     private void report() {
         context.admission().report();
+        idleServerReport.report(context.state().catalog().servers(), System.nanoTime());
         memoryMetrics.report();
     }
 
