Keep the log going after a text that can't be encoded

A text from outside, such as the state of a server's entry, may contain an unpaired surrogate. Jackson refuses to encode it, and the writer of the log took this for a failure of its output and ended: from then on no line was written.

Unpaired surrogates are now replaced. JsonEventLogTest.logGoesOnAfterATextWithAnUnpairedSurrogate failed before.

--- a/coppershelf/src/main/java/io/coppershelf/eventlog/JsonEventLog.java
+++ b/coppershelf/src/main/java/io/coppershelf/eventlog/JsonEventLog.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -138,9 +139,15 @@
         } else if (value instanceof Boolean flag) {
             generator.writeBoolean(flag);
         } else {
-            generator.writeString(String.valueOf(value));
+            generator.writeString(wellFormed(String.valueOf(value)));
         }
     }
 
+    /** Returns the text with its unpaired surrogates replaced, which can't be encoded. */
+    private static String wellFormed(String text) {
+        boolean hasSurrogates = text.chars().anyMatch(unit -> Character.isSurrogate((char) unit));
+        return hasSurrogates ? new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8) : text;
+    }
+
     private record Line(long wallMillis, String event, Map<String, Object> fields) {}
 }
--- a/coppershelf/src/test/java/io/coppershelf/eventlog/JsonEventLogTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/eventlog/JsonEventLogTest.java
@@ -50,6 +50,18 @@
         assertThat(out.toString(StandardCharsets.UTF_8)).contains("request-failed");
     }
 
+    /** Guards against a log that ends at a text from outside that can't be encoded. */
+    @Test
+    void logGoesOnAfterATextWithAnUnpairedSurrogate() throws InterruptedException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        JsonEventLog log = JsonEventLog.start(out, "vm-1");
+        log.important("server-entry-ignored", Fields.of("reason", "unknown state \ud800 x"));
+        log.important("platform-read", Fields.of("revision", "1/7"));
+        log.close();
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("unknown state ? x");
+        assertThat(out.toString(StandardCharsets.UTF_8)).contains("platform-read");
+    }
+
     /** Never returns from a write. */
     private static final class BlockedStream extends OutputStream {
         private final CountDownLatch blocked;
