Read the platform again after a result that can't be applied

One of the users' reports: VMs that read the list of servers stopped following it after an odd entry. An exception in the listener of a reading went to the network library. The reading had neither succeeded nor failed, so the VM never read again, without a line in the log.

The readings are now in PlatformReadings: a result that can't be applied counts as a failed reading, is logged, and is followed by a complete reading, since a part of the change may be in force. Periodic tasks of the gateway are LoggedTasks, which log an exception and run again.

--- a/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/FleetState.java
@@ -11,12 +11,12 @@
 import io.coppershelf.dispatch.FleetPosition;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
+import io.coppershelf.eventlog.LoggedTask;
 import io.coppershelf.proxy.ControlState;
 import io.coppershelf.proxy.FleetReports;
 import io.coppershelf.quota.TokenSource;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -30,18 +30,13 @@
     private static final long TICK_MILLIS = 50;
     /** Number of ticks between two gossip messages about the membership. */
     private static final int TICKS_PER_GOSSIP = 8;
-    /**
-     * Longest time that the platform waits for a change; a reading without changes confirms that the catalog is
-     * current.
-     */
-    private static final Duration CHANGE_WAIT = Duration.ofMillis(100);
 
     private final EventLoop loop;
-    private final CatalogReader reader;
     private final FleetObservations observations;
     private final Membership membership;
     private final boolean needsTenants;
     private final PlatformReadSchedule schedule;
+    private final PlatformReadings readings;
     private final MeshMetrics metrics;
     private final EventLog log;
     private final StateChangeLog changeLog;
@@ -53,8 +48,6 @@
     private final ServersInForce servers = new ServersInForce();
     private final SnapshotSource startSnapshots;
     private final ConfigurationFetcher configurationFetcher;
-    private boolean isReading;
-    private boolean needsCompleteReading = true;
     private long ticks;
     private volatile Catalog catalog = Catalog.EMPTY;
     private volatile boolean isStopping;
@@ -75,12 +68,12 @@
             MeshMetrics metrics,
             EventLog log) {
         this.loop = loop;
-        this.reader = reader;
         this.observations = observations;
         this.membership = membership;
         this.needsTenants = needsTenants;
         this.random = random;
         schedule = new PlatformReadSchedule(random);
+        readings = new PlatformReadings(reader, schedule, servers::registered, new ReadingReceiver(), log);
         this.metrics = metrics;
         this.log = log;
         changeLog = new StateChangeLog(log);
@@ -112,7 +105,8 @@
     public void start(InetSocketAddress address) {
         messenger.use(MeshSocket.open(loop, address, this::handle, log));
         SnapshotServer.listen(loop, address, this::snapshot, log);
-        loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        Runnable tick = new LoggedTask("fleet-tick", this::tick, log);
+        loop.scheduleWithFixedDelay(tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -197,18 +191,7 @@
             exchange.gossip(now);
             reporting.gossip(membership.ageNanos(now), now);
         }
-        if (!isReading && schedule.isDue(messenger.rank(now), membership.ageNanos(now), now)) {
-            read();
-        }
-    }
-
-    private void read() {
-        isReading = true;
-        if (needsCompleteReading) {
-            reader.readAll(new ReadingListener());
-        } else {
-            reader.readChanges(servers.registered().revision(), CHANGE_WAIT, new ReadingListener());
-        }
+        readings.poll(messenger.rank(now), membership.ageNanos(now), now);
     }
 
     private void handle(InetSocketAddress sender, MeshMessage message) {
@@ -233,9 +216,9 @@
         CatalogChange change = update.change();
         if (update.revision().era() > known.era()) {
             // The store was restored, so revisions of the former era can't be continued.
-            needsCompleteReading = true;
+            readings.requireComplete();
         }
-        if (needsCompleteReading) {
+        if (readings.needsComplete()) {
             return MeshMetrics.UpdateOutcome.INCOMPLETE;
         }
         if (!change.follows(known)) {
@@ -289,8 +272,8 @@
     private void applySnapshot(Snapshot snapshot) {
         servers.recordLeaving(snapshot.leaving(), now());
         CatalogRevision known = servers.registered().revision();
-        if (needsCompleteReading && !known.isAfter(snapshot.content().revision())) {
-            needsCompleteReading = false;
+        if (readings.needsComplete() && !known.isAfter(snapshot.content().revision())) {
+            readings.receivedComplete();
             // Recorded first, so that no key is accepted that a newer configuration withdraws.
             configurationFetcher.record(snapshot.announcedConfiguration());
             publish(snapshot.content(), "peer");
@@ -315,15 +298,10 @@
         return System.nanoTime();
     }
 
-    /** Applies the result of a reading of the platform. */
-    private final class ReadingListener implements CatalogReader.Listener {
-        /** The list whose changes are read; other VMs may report some of them before the reading ends. */
-        private final ServerList requested = servers.registered();
-
+    /** Applies the results of readings of the platform. */
+    private final class ReadingReceiver implements PlatformReadings.Receiver {
         @Override
-        public void readSucceeded(CatalogChange change) {
-            isReading = false;
-            needsCompleteReading = false;
+        public void read(CatalogChange change, ServerList requested) {
             changeLog.platformRead(change.revision());
             if (catalog.configuration().isEmpty() && change.revision().isOfRestoredStore()) {
                 configurationFetcher.requireAnnouncement();
@@ -333,26 +311,19 @@
                 publish(change, "platform");
             }
             schedule.markCurrent(now());
-            sendUpdate(change);
+            sendUpdate(change, requested);
         }
 
         @Override
-        public void readFailed(CatalogReader.Failure failure, String reason) {
-            isReading = false;
-            if (failure == CatalogReader.Failure.HISTORY_LOST) {
-                needsCompleteReading = true;
-                log.important("platform-history-lost", Fields.of("reason", reason));
-                return;
-            }
+        public void notRead(String reason) {
             changeLog.platformLost(reason);
-            schedule.readFailed(now());
-            if (needsCompleteReading) {
+            if (readings.needsComplete()) {
                 fetchSnapshot();
             }
         }
 
         /** Sends the changes that matter for routing to the fleet, with the confirmation that the rest is unchanged. */
-        private void sendUpdate(CatalogChange change) {
+        private void sendUpdate(CatalogChange change, ServerList requested) {
             if (change.isComplete()) {
                 return;
             }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -14,6 +14,7 @@
 import io.coppershelf.dispatch.ServerReachability;
 import io.coppershelf.dispatch.WeightedRoundRobin;
 import io.coppershelf.eventlog.EventLog;
+import io.coppershelf.eventlog.LoggedTask;
 import io.coppershelf.health.estimate.HealthEstimates;
 import io.coppershelf.http.BodyLimit;
 import io.coppershelf.http.BodyMemory;
@@ -61,6 +62,8 @@
     private static final long SWEEP_MILLIS = 1000;
     /** Interval at which it is checked whether bodies wait for memory without progress. */
     private static final long MEMORY_CHECK_MILLIS = 250;
+
+    private static final long REPORT_MILLIS = 1000;
     /** Room for the headers that a VM adds to the head of a caller's request. */
     private static final int RELAY_HEAD_BYTES = 512;
 
@@ -156,12 +159,15 @@
     public void listen(InetSocketAddress address, Optional<InetSocketAddress> relayAddress) {
         listeners.add(bind(address, false));
         relayAddress.ifPresent(relay -> listeners.add(bind(relay, true)));
-        context.loop().scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+        every(SWEEP_MILLIS, "sweep", this::sweep);
         pathChecks.start(context.monitor()::poll);
-        context.loop()
-                .scheduleWithFixedDelay(
-                        context.bodies()::relieve, MEMORY_CHECK_MILLIS, MEMORY_CHECK_MILLIS, TimeUnit.MILLISECONDS);
-        context.loop().scheduleWithFixedDelay(this::report, 1, 1, TimeUnit.SECONDS);
+        every(MEMORY_CHECK_MILLIS, "memory-check", context.bodies()::relieve);
+        every(REPORT_MILLIS, "report", this::report);
+    }
+
+    private void every(long millis, String name, Runnable task) {
+        Runnable logged = new LoggedTask(name, task, context.log());
+        context.loop().scheduleWithFixedDelay(logged, millis, millis, TimeUnit.MILLISECONDS);
     }
 
     private Channel bind(InetSocketAddress address, boolean isForRelays) {
