Close connections on which a refusal without an id was received

One of the users' reports: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that it ran, or such a request ran at a second server. Confirmed here.

Cause: an answer without a request id that states "not run", or with status 421, counted as that of the request in flight, whatever had been received on the connection before. A copy with the id of an earlier request was already skipped.

What proves that such a refusal belongs to the request: no other request of the connection can have caused it. So a connection is closed after a refusal without an id, and one that follows an answer to another request is skipped. A refusal without an id on a connection whose earlier answers had ids is still followed at once; waiting for another answer would cost its caller the deadline.

Relayed requests are answered by VMs, which always return the id; the older daemon requires exactly one matching id in each answer (AnswerHandler).

--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
@@ -37,6 +37,7 @@
     private Optional<Observation> unreportedLoss = Optional.empty();
     private boolean isEnded;
     private boolean isStallReported;
+    private boolean hasForeignAnswer;
 
     /**
      * Creates an attempt that is not sent yet.
@@ -143,10 +144,22 @@
         context.metrics().recordAttempt("cancelled");
     }
 
+    /**
+     * Returns whether the answer belongs to the request. One without an id can only be a refusal, and only if nothing
+     * else on the connection could have caused it: connections with such a refusal are closed, so that a copy of it is
+     * never taken for the refusal of a later request.
+     */
     @Override
     public boolean belongsToRequest(HttpAnswer received) {
-        String echoed = received.headers().get(context.names().requestId());
-        return echoed == null ? isRefusal(received) : echoed.equals(requestId);
+        boolean belongs = echoedId(received)
+                .map(echoed -> echoed.equals(requestId))
+                .orElseGet(() -> isRefusal(received) && !hasForeignAnswer);
+        hasForeignAnswer |= !belongs;
+        return belongs;
+    }
+
+    private Optional<String> echoedId(HttpAnswer received) {
+        return Optional.ofNullable(received.headers().get(context.names().requestId()));
     }
 
     @Override
@@ -214,6 +227,9 @@
     }
 
     private void endRefused(HttpAnswer received, boolean wantsPause) {
+        if (echoedId(received).isEmpty()) {
+            connection.ifPresent(HttpConnection::close);
+        }
         if (received.status() == STATUS_MISDIRECTED) {
             stats.recordPathFailure(System.nanoTime());
         } else if (!wantsPause) {
