Test that answers cut at any byte are not taken for complete ones

One of the users' reports: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. It can't happen here; the tests passed at once, so this is no fix.

--- a/coppershelf/src/test/java/io/coppershelf/backend/internal/HttpBackendClientTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/backend/internal/HttpBackendClientTest.java
@@ -1,6 +1,7 @@
 package io.coppershelf.backend.internal;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.coppershelf.backend.BackendClient.Exchange;
 import io.coppershelf.backend.BackendRequest;
@@ -32,6 +33,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(60)
 class HttpBackendClientTest {
@@ -124,6 +126,25 @@
         assertThat(server.received()).hasSize(1);
     }
 
+    /** Guards against a success with an empty or short body that is taken for a complete answer. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nCoppershelf-Try-Id: t1\r\n\r\nwhole",
+                "HTTP/1.1 200 OK\r\nCoppershelf-Try-Id: t1\r\nContent-Length: 5\r\n\r\nwhole",
+                "HTTP/1.1 200 OK\r\nCoppershelf-Try-Id: t1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+            })
+    void answerThatIsCutAtAnyByteIsNotReturned(String raw) throws Exception {
+        int[] cut = {raw.length()};
+        start(request -> FakeBackendServer.thenClose(raw.substring(0, cut[0])));
+        assertThat(send("t1").result().get().answer()).isPresent();
+        for (cut[0] = 0; cut[0] < raw.length(); cut[0]++) {
+            assertWithMessage("answer that is cut after %s bytes", cut[0])
+                    .that(send("t1").result().get().answer())
+                    .isEmpty();
+        }
+    }
+
     @Test
     void sendsAttemptWithItsIdAndRemainingTime() throws Exception {
         start(request -> request.answer(201, "whole", "Coppershelf-Server-State: Draining", "X-Kept: 1"));
