Share the creation of choosers between the simulations of fleets

Three load tests built a ServerChooser from what a simulated VM knows in the same way; SimulatedMesh does it now.

--- a/coppershelf/src/test/java/io/coppershelf/dispatch/HealthyServerUseTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/HealthyServerUseTest.java
@@ -5,7 +5,6 @@
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.RequestKind;
 import io.coppershelf.health.estimate.Observation;
-import io.coppershelf.mesh.FleetObservations;
 import io.coppershelf.mesh.SimulatedMesh;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -66,7 +65,7 @@
         mesh.register(servers);
         List<Vm> vms = new ArrayList<>();
         for (int i = 0; i < size; i++) {
-            vms.add(new Vm(mesh, i, size, kind));
+            vms.add(new Vm(mesh, i, kind));
         }
         for (int group = 0; group < GROUPS; group++) {
             at(FIRST_REPLACEMENT + group * REPLACEMENT_INTERVAL, now -> replaceGroup(mesh, now));
@@ -118,19 +117,11 @@
         private final RequestKind kind;
         private final ServerChooser chooser;
 
-        Vm(SimulatedMesh mesh, int index, int size, RequestKind kind) {
+        Vm(SimulatedMesh mesh, int index, RequestKind kind) {
             this.mesh = mesh;
             this.index = index;
             this.kind = kind;
-            FleetObservations observations = mesh.observations(index);
-            chooser = new ServerChooser(
-                    mesh.dataCentre(index),
-                    observations.estimates(),
-                    observations.load(),
-                    observations.idleServers(),
-                    observations.limits(),
-                    () -> new FleetPosition(index, size),
-                    random);
+            chooser = mesh.chooser(index, random);
         }
 
         void send(long now) {
--- a/coppershelf/src/test/java/io/coppershelf/mesh/SimulatedMesh.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/SimulatedMesh.java
@@ -4,6 +4,8 @@
 import io.coppershelf.catalog.CatalogRevision;
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.dispatch.FleetLoad;
+import io.coppershelf.dispatch.FleetPosition;
+import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.health.estimate.Observation;
 import java.net.InetSocketAddress;
@@ -13,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
@@ -83,6 +86,20 @@
         return byIndex.get(vm).observations;
     }
 
+    /** Returns a chooser of servers with what a VM knows of them. */
+    public ServerChooser chooser(int vm, Random random) {
+        FleetObservations known = observations(vm);
+        FleetPosition position = new FleetPosition(vm, byIndex.size());
+        return new ServerChooser(
+                dataCentre(vm),
+                known.estimates(),
+                known.load(),
+                known.idleServers(),
+                known.limits(),
+                () -> position,
+                random);
+    }
+
     /** Sets the servers that all VMs know. */
     public void register(Collection<BackendServer> registered) {
         servers = ServerList.of(CatalogRevision.NONE, registered);
--- a/coppershelf/src/test/java/io/coppershelf/overload/IdleServersInShortageTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/overload/IdleServersInShortageTest.java
@@ -4,11 +4,9 @@
 
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.RequestKind;
-import io.coppershelf.dispatch.FleetPosition;
 import io.coppershelf.dispatch.ReachableChooser;
 import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.dispatch.ServerPaths;
-import io.coppershelf.mesh.FleetObservations;
 import io.coppershelf.mesh.SimulatedMesh;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -91,15 +89,7 @@
 
         Vm(int index) {
             this.index = index;
-            FleetObservations observations = mesh.observations(index);
-            chooser = new ServerChooser(
-                    mesh.dataCentre(index),
-                    observations.estimates(),
-                    observations.load(),
-                    observations.idleServers(),
-                    observations.limits(),
-                    () -> new FleetPosition(index, VMS),
-                    random);
+            chooser = mesh.chooser(index, random);
             choice = new ShortageChoice(chooser, new ReachableChooser(chooser, new ServerPaths()));
         }
 
--- a/coppershelf/src/test/java/io/coppershelf/overload/OverloadSimulation.java
+++ b/coppershelf/src/test/java/io/coppershelf/overload/OverloadSimulation.java
@@ -2,14 +2,12 @@
 
 import io.coppershelf.catalog.BackendServer;
 import io.coppershelf.catalog.RequestKind;
-import io.coppershelf.dispatch.FleetPosition;
 import io.coppershelf.dispatch.FleetRetryBudget;
 import io.coppershelf.dispatch.ReachableChooser;
 import io.coppershelf.dispatch.ServerChooser;
 import io.coppershelf.dispatch.ServerPaths;
 import io.coppershelf.dispatch.ServerStats;
 import io.coppershelf.health.estimate.Observation;
-import io.coppershelf.mesh.FleetObservations;
 import io.coppershelf.mesh.SimulatedMesh;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -233,16 +231,7 @@
 
         Vm(int index) {
             this.index = index;
-            FleetPosition position = new FleetPosition(index, size);
-            FleetObservations observations = mesh.observations(index);
-            chooser = new ServerChooser(
-                    mesh.dataCentre(index),
-                    observations.estimates(),
-                    observations.load(),
-                    observations.idleServers(),
-                    observations.limits(),
-                    () -> position,
-                    random);
+            chooser = mesh.chooser(index, random);
             shortageChoice = new ShortageChoice(chooser, new ReachableChooser(chooser, new ServerPaths()));
             for (OverloadScenario.Service service : scenario.services()) {
                 List<Integer> ranks = scenario.kinds().stream()
