Read the platform again also when a reading can't be started

A reading whose start throws would have stayed marked as in progress for good, and a second result of a reading would have ended the next one. A start that throws now counts as a failed reading, and only the first result of a reading counts.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServers.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServers.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The servers of a service that accept requests and have had none for two seconds, by the reason why. Only servers are
- * listed whose requests this VM sees.
+ * The servers that accept requests and have had none for two seconds, by the reason why. Only servers are listed whose
+ * requests this VM sees.
  *
  * @param healthy the servers that could have got a request
  * @param suspected the servers that failed and have not shown since that they recovered
--- a/coppershelf/src/main/java/io/coppershelf/mesh/PlatformReadings.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/PlatformReadings.java
@@ -2,7 +2,6 @@
 
 import io.coppershelf.catalog.CatalogChange;
 import io.coppershelf.catalog.CatalogReader;
-import io.coppershelf.catalog.CatalogRevision;
 import io.coppershelf.catalog.ServerList;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
@@ -85,20 +84,32 @@
             return;
         }
         isReading = true;
+        ReadingListener listener = new ReadingListener();
+        try {
+            start(listener);
+        } catch (RuntimeException e) {
+            listener.readFailed(CatalogReader.Failure.UNAVAILABLE, e.toString());
+        }
+    }
+
+    private void start(CatalogReader.Listener listener) {
         if (needsComplete) {
-            reader.readAll(new ReadingListener());
+            reader.readAll(listener);
         } else {
-            reader.readChanges(registered.get().revision(), CHANGE_WAIT, new ReadingListener());
+            reader.readChanges(registered.get().revision(), CHANGE_WAIT, listener);
         }
     }
 
-    /** Ends the reading in progress. */
+    /** Ends the reading in progress; only the first result of a reading counts. */
     private final class ReadingListener implements CatalogReader.Listener {
         private final ServerList requested = registered.get();
+        private boolean isEnded;
 
         @Override
         public void readSucceeded(CatalogChange change) {
-            isReading = false;
+            if (!end()) {
+                return;
+            }
             needsComplete = false;
             try {
                 receiver.read(change, requested);
@@ -106,14 +117,17 @@
                 // A part of the change may be applied, so later changes can't be applied to what is known.
                 needsComplete = true;
                 log.important(
-                        "platform-change-not-applied", Fields.of("revision", revision(change), "reason", e.toString()));
+                        "platform-change-not-applied",
+                        Fields.of("revision", change.revision(), "reason", e.toString()));
                 schedule.readFailed(System.nanoTime());
             }
         }
 
         @Override
         public void readFailed(CatalogReader.Failure failure, String reason) {
-            isReading = false;
+            if (!end()) {
+                return;
+            }
             if (failure == CatalogReader.Failure.HISTORY_LOST) {
                 needsComplete = true;
                 log.important("platform-history-lost", Fields.of("reason", reason));
@@ -123,9 +137,12 @@
             receiver.notRead(reason);
         }
 
-        private static String revision(CatalogChange change) {
-            CatalogRevision revision = change.revision();
-            return revision.era() + "/" + revision.number();
+        /** Returns whether the reading ends now. */
+        private boolean end() {
+            boolean isFirst = !isEnded;
+            isEnded = true;
+            isReading &= !isFirst;
+            return isFirst;
         }
     }
 }
--- a/coppershelf/src/test/java/io/coppershelf/mesh/PlatformReadingsTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/PlatformReadingsTest.java
@@ -47,6 +47,28 @@
         assertThat(reader.calls).containsExactly("complete", "changes").inOrder();
     }
 
+    @Test
+    void readingThatCannotBeStartedIsFollowedByAnother() {
+        reader.isBroken = true;
+        poll();
+        reader.isBroken = false;
+        poll();
+        assertThat(reader.calls).containsExactly("complete", "complete").inOrder();
+    }
+
+    @Test
+    void secondResultOfAReadingIsIgnored() {
+        receiver.isFailing = false;
+        poll();
+        reader.succeed();
+        CatalogReader.Listener first = reader.last;
+        poll();
+        first.readFailed(CatalogReader.Failure.HISTORY_LOST, "late");
+        assertThat(readings.needsComplete()).isFalse();
+        poll();
+        assertThat(reader.calls).containsExactly("complete", "changes").inOrder();
+    }
+
     @Test
     void onlyOneReadingIsInProgress() {
         poll();
@@ -77,6 +99,7 @@
     private static final class RecordingReader implements CatalogReader {
         private final List<String> calls = new ArrayList<>();
         private Listener last;
+        private boolean isBroken;
 
         void succeed() {
             last.readSucceeded(CatalogChange.complete(ServerList.EMPTY, Optional.empty()));
@@ -86,6 +109,9 @@
         public void readAll(Listener listener) {
             calls.add("complete");
             last = listener;
+            if (isBroken) {
+                throw new IllegalStateException("can't be started");
+            }
         }
 
         @Override
