Report a request to an idle server at once

Cause: a VM of a large fleet reports a new request within 5 ms only if it fills half of the server's slots, else within 250 ms. Until then the other VMs of the data centre take an idle server for idle and choose it as well, and its queue fills up while others have free slots.

A request to a server that was idle for 1.3 s is now reported within 5 ms too. AdmissionLoadTest passes again, with the same bounds (50 runs); HealthyServerUseTest, FailureEpisodeLoadTest and IdleServersInShortageTest pass. The number of messages a second to a data centre stays bounded as before (ServerReporter).

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServerTracker.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServerTracker.java
@@ -47,9 +47,15 @@
         return covered.test(dataCentre);
     }
 
-    /** Records that some VM sent a request to a server. */
-    public void recordRequest(long serverCode, long nowNanos) {
+    /**
+     * Records that some VM sent a request to a server.
+     *
+     * @return whether the server was idle, so that other VMs choose it too until they know of the request
+     */
+    public boolean recordRequest(long serverCode, long nowNanos) {
+        boolean wasIdle = isIdle(serverCode, IDLE_NANOS, nowNanos);
         lastRequestNanos.put(serverCode, nowNanos);
+        return wasIdle;
     }
 
     /** Removes all servers but the given ones. */
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
@@ -91,11 +91,9 @@
     private void recordLoad(BackendServer server, int inFlight, boolean isStart) {
         long now = System.nanoTime();
         long code = FleetLoad.codeOf(server.key());
-        if (isStart) {
-            observations.idleServers().recordRequest(code, now);
-        }
+        boolean wasIdle = isStart && observations.idleServers().recordRequest(code, now);
         Audience audience = messenger.audience(now);
-        boolean isUrgent = isStart && (!audience.isPartial() || fillsUp(server, code, inFlight));
+        boolean isUrgent = isStart && (!audience.isPartial() || wasIdle || fillsUp(server, code, inFlight));
         long dueNanos = reporter(server).changed(code, inFlight, isUrgent, audience, now);
         if (isUrgent) {
             schedule(server.dataCentre(), dueNanos, now);
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/IdleServerTrackerTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/IdleServerTrackerTest.java
@@ -38,6 +38,14 @@
         assertThat(idle(false, SECOND / 10)).isEmpty();
     }
 
+    /** Guards against many VMs that choose the same idle server, as they learn late of the first request to it. */
+    @Test
+    void onlyARequestToAnIdleServerIsReportedAsOne() {
+        assertThat(tracker.recordRequest(code(0), 0)).isTrue();
+        assertThat(tracker.recordRequest(code(0), SECOND)).isFalse();
+        assertThat(tracker.recordRequest(code(0), 3 * SECOND)).isTrue();
+    }
+
     /**
      * Scenario: all VMs lose power at once: requests in flight count as failed, and no request can restore the floor
      * afterwards.
--- a/coppershelf/src/test/java/io/coppershelf/mesh/SimulatedMesh.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/SimulatedMesh.java
@@ -144,11 +144,9 @@
 
         void loadChanged(BackendServer server, int inFlight, boolean isStart, long now) {
             long code = FleetLoad.codeOf(server.key());
-            if (isStart) {
-                observations.idleServers().recordRequest(code, now);
-            }
+            boolean wasIdle = isStart && observations.idleServers().recordRequest(code, now);
             int known = inFlight + observations.load().inFlightOfOthers(code);
-            boolean isUrgent = isStart && (!audience.isPartial() || known >= URGENT_FILL * server.slots());
+            boolean isUrgent = isStart && (!audience.isPartial() || wasIdle || known >= URGENT_FILL * server.slots());
             long dueNanos = reporter(server.dataCentre()).changed(code, inFlight, isUrgent, audience, now);
             if (isUrgent) {
                 timer.at(Math.max(now, dueNanos), later -> send(server.dataCentre(), later));
