--- a/coppershelf/src/test/java/io/coppershelf/overload/AdmissionLoadTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/overload/AdmissionLoadTest.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -183,4 +184,11 @@
         RunResult result = run(name, scenario);
         assertWithMessage(name + ": " + result).that(result.refused(fromNanos)).isEqualTo(0);
     }
+
+    /** Guards against admission that shifts the requests of a route to another of its services. */
+    @Test
+    void weightsOfServicesHoldInWhatIsAdmitted() {
+        RunResult result = run("first customer at 1.3", OverloadScenario.first(1.3));
+        assertWithMessage(result.toString()).that(result.worstWeightError()).isAtMost(0.1);
+    }
 }
--- a/coppershelf/src/test/java/io/coppershelf/overload/AdmissionShortfallTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/overload/AdmissionShortfallTest.java
@@ -56,13 +56,6 @@
         assertWithMessage(name + ": " + result).that(result.refused(fromNanos)).isEqualTo(0);
     }
 
-    /** Guards against admission that shifts the requests of a route to another of its services. */
-    @Test
-    void weightsOfServicesHoldInWhatIsAdmitted() {
-        RunResult result = AdmissionLoadTest.run("first customer at 1.3", OverloadScenario.first(1.3));
-        assertWithMessage(result.toString()).that(result.worstWeightError()).isAtMost(0.1);
-    }
-
     /** Guards against control that makes a fault worse: servers with free slots refuse 0.55 of the requests unread. */
     @Test
     void asMuchIsServedAsWithoutControlWhileServersRefuseUnread() {
