Log exceptions of the checks of paths

The timer of these checks goes on after an exception, but nothing logged it: the executor keeps it in a future that nobody reads. The checks are a LoggedTask now, like the other periodic tasks of the gateway.

--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -160,7 +160,7 @@
         listeners.add(bind(address, false));
         relayAddress.ifPresent(relay -> listeners.add(bind(relay, true)));
         every(SWEEP_MILLIS, "sweep", this::sweep);
-        pathChecks.start(context.monitor()::poll);
+        pathChecks.start(new LoggedTask("path-checks", context.monitor()::poll, context.log()));
         every(MEMORY_CHECK_MILLIS, "memory-check", context.bodies()::relieve);
         every(REPORT_MILLIS, "report", this::report);
     }
