--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
@@ -93,6 +93,11 @@
         return isRequestWritten;
     }
 
+    /** Returns whether an answer to another request was skipped during the last exchange. */
+    public boolean hasSkippedAnswer() {
+        return hasSkippedAnswer;
+    }
+
     /**
      * Returns whether the reading of the answer was paused or given up for lack of memory, so that its delay, or its
      * end before it was complete, shows nothing of the server.
--- a/coppershelf/src/main/java/io/coppershelf/mesh/PlatformReadings.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/PlatformReadings.java
@@ -6,6 +6,7 @@
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.eventlog.Fields;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 /**
@@ -24,7 +25,7 @@
     private final Supplier<ServerList> registered;
     private final Receiver receiver;
     private final EventLog log;
-    private boolean isReading;
+    private Optional<ReadingListener> inProgress = Optional.empty();
     private boolean needsComplete = true;
 
     /** Receives the results of readings. */
@@ -80,11 +81,11 @@
      * @param vmAgeNanos the time since the start of this VM
      */
     void poll(int rank, long vmAgeNanos, long nowNanos) {
-        if (isReading || !schedule.isDue(rank, vmAgeNanos, nowNanos)) {
+        if (inProgress.isPresent() || !schedule.isDue(rank, vmAgeNanos, nowNanos)) {
             return;
         }
-        isReading = true;
         ReadingListener listener = new ReadingListener();
+        inProgress = Optional.of(listener);
         try {
             start(listener);
         } catch (RuntimeException e) {
@@ -103,7 +104,6 @@
     /** Ends the reading in progress; only the first result of a reading counts. */
     private final class ReadingListener implements CatalogReader.Listener {
         private final ServerList requested = registered.get();
-        private boolean isEnded;
 
         @Override
         public void readSucceeded(CatalogChange change) {
@@ -137,12 +137,13 @@
             receiver.notRead(reason);
         }
 
-        /** Returns whether the reading ends now. */
+        /** Returns whether the reading ends now; it has ended before if it is no longer in progress. */
         private boolean end() {
-            boolean isFirst = !isEnded;
-            isEnded = true;
-            isReading &= !isFirst;
-            return isFirst;
+            boolean endsNow = inProgress.isPresent() && inProgress.get() == this;
+            if (endsNow) {
+                inProgress = Optional.empty();
+            }
+            return endsNow;
         }
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
+++ b/coppershelf/src/main/java/io/coppershelf/mesh/ServerReporting.java
@@ -93,7 +93,8 @@
         long code = FleetLoad.codeOf(server.key());
         boolean wasIdle = isStart && observations.idleServers().recordRequest(code, now);
         Audience audience = messenger.audience(now);
-        boolean isUrgent = isStart && (!audience.isPartial() || wasIdle || fillsUp(server, code, inFlight));
+        int inFlightOfAll = inFlight + observations.load().inFlightOfOthers(code);
+        boolean isUrgent = isStart && isUrgent(server, inFlightOfAll, wasIdle, audience);
         long dueNanos = reporter(server).changed(code, inFlight, isUrgent, audience, now);
         if (isUrgent) {
             schedule(server.dataCentre(), dueNanos, now);
@@ -176,9 +177,14 @@
         }
     }
 
-    /** Returns whether other VMs would choose another server if they knew of the last request. */
-    private boolean fillsUp(BackendServer server, long code, int inFlight) {
-        return inFlight + observations.load().inFlightOfOthers(code) >= URGENT_FILL * server.slots();
+    /**
+     * Returns whether a new request is reported at once, as other VMs would choose another server if they knew of it.
+     *
+     * @param inFlightOfAll the requests that all VMs have in flight at the server, with the new one
+     * @param wasIdle whether the server was idle before the request
+     */
+    static boolean isUrgent(BackendServer server, int inFlightOfAll, boolean wasIdle, Audience audience) {
+        return !audience.isPartial() || wasIdle || inFlightOfAll >= URGENT_FILL * server.slots();
     }
 
     private int inFlight(BackendServer server, long serverCode) {
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
@@ -37,7 +37,6 @@
     private Optional<Observation> unreportedLoss = Optional.empty();
     private boolean isEnded;
     private boolean isStallReported;
-    private boolean hasForeignAnswer;
 
     /**
      * Creates an attempt that is not sent yet.
@@ -151,11 +150,13 @@
      */
     @Override
     public boolean belongsToRequest(HttpAnswer received) {
-        boolean belongs = echoedId(received)
+        return echoedId(received)
                 .map(echoed -> echoed.equals(requestId))
-                .orElseGet(() -> isRefusal(received) && !hasForeignAnswer);
-        hasForeignAnswer |= !belongs;
-        return belongs;
+                .orElseGet(() -> isRefusal(received) && !hasSkippedAnswer());
+    }
+
+    private boolean hasSkippedAnswer() {
+        return connection.map(HttpConnection::hasSkippedAnswer).orElse(false);
     }
 
     private Optional<String> echoedId(HttpAnswer received) {
--- a/coppershelf/src/test/java/io/coppershelf/mesh/SimulatedMesh.java
+++ b/coppershelf/src/test/java/io/coppershelf/mesh/SimulatedMesh.java
@@ -29,8 +29,6 @@
     private static final int TICKS_PER_EXPIRY = 8;
     /** One-way latency between data centres. */
     private static final long LATENCY_NANOS = TimeUnit.MICROSECONDS.toNanos(1400);
-    /** The share of the slots in use from which {@link ServerReporting} reports a start at once. */
-    private static final double URGENT_FILL = 0.5;
 
     private final StateChangeLog log = new StateChangeLog(EventLog.NONE);
     private final Timer timer;
@@ -145,8 +143,8 @@
         void loadChanged(BackendServer server, int inFlight, boolean isStart, long now) {
             long code = FleetLoad.codeOf(server.key());
             boolean wasIdle = isStart && observations.idleServers().recordRequest(code, now);
-            int known = inFlight + observations.load().inFlightOfOthers(code);
-            boolean isUrgent = isStart && (!audience.isPartial() || wasIdle || known >= URGENT_FILL * server.slots());
+            int inFlightOfAll = inFlight + observations.load().inFlightOfOthers(code);
+            boolean isUrgent = isStart && ServerReporting.isUrgent(server, inFlightOfAll, wasIdle, audience);
             long dueNanos = reporter(server.dataCentre()).changed(code, inFlight, isUrgent, audience, now);
             if (isUrgent) {
                 timer.at(Math.max(now, dueNanos), later -> send(server.dataCentre(), later));
