Log how long a server had no request, and the evidence against it

The logs could not tell whether a server was idle because of a failed answer, a stall, a refusal or an estimate of other VMs. The line server-used-again names the time without a request and the last negative observation when the server gets a request again.

HealthEstimateTest covers the evidence.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServerTracker.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServerTracker.java
@@ -1,7 +1,9 @@
 package io.coppershelf.dispatch;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -82,6 +84,12 @@
         return isIdle(serverCode, TEST_INTERVAL_NANOS, nowNanos);
     }
 
+    /** Returns the time since the last request to a server, empty if there was none. */
+    Optional<Duration> idleTime(long serverCode, long nowNanos) {
+        return Optional.ofNullable(lastRequestNanos.get(serverCode))
+                .map(last -> Duration.ofNanos(Math.max(0, nowNanos - last)));
+    }
+
     /** Returns whether a server has had no request for a time. */
     boolean isIdle(long serverCode, long limitNanos, long nowNanos) {
         Long lastRequest = lastRequestNanos.get(serverCode);
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -298,7 +298,9 @@
         return new ChoiceInputs(
                 estimate.unhealthyProbabilityAt(nowNanos),
                 Duration.ofNanos(Math.max(0, nowNanos - estimate.atNanos())),
-                estimatedLoad(server, nowNanos));
+                estimatedLoad(server, nowNanos),
+                idleServers.idleTime(stats(server).code(), nowNanos).filter(time -> isCounted(server.dataCentre())),
+                estimate.evidence());
     }
 
     /** Returns the expected loss of sending the request to the server, as a share of the request's value. */
--- a/coppershelf/src/main/java/io/coppershelf/health/estimate/HealthEstimate.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/estimate/HealthEstimate.java
@@ -1,5 +1,6 @@
 package io.coppershelf.health.estimate;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -14,9 +15,15 @@
  *     the first; a server that refuses requests since it is full has none
  * @param episodeNanos the monotonic time at which the server was last known to be in a failure episode,
  *     {@link Long#MIN_VALUE} if it never was
+ * @param evidence the last negative observation, empty before the first and if only other VMs know what they observed
  */
 public record HealthEstimate(
-        double unhealthyProbability, long atNanos, long failedNanos, long errorNanos, long episodeNanos) {
+        double unhealthyProbability,
+        long atNanos,
+        long failedNanos,
+        long errorNanos,
+        long episodeNanos,
+        Optional<Observation> evidence) {
     /**
      * Mean duration of the unhealthy state, in seconds; gray failures in the expected workloads last several seconds.
      */
@@ -60,7 +67,8 @@
 
     /** Returns the estimate for a server without observations. */
     public static HealthEstimate initial(long nowNanos) {
-        return new HealthEstimate(BASE_PROBABILITY, nowNanos, Long.MIN_VALUE, Long.MIN_VALUE, Long.MIN_VALUE);
+        return new HealthEstimate(
+                BASE_PROBABILITY, nowNanos, Long.MIN_VALUE, Long.MIN_VALUE, Long.MIN_VALUE, Optional.empty());
     }
 
     /** Returns the estimate after an observation. */
@@ -74,7 +82,8 @@
                 nowNanos,
                 observation.isNegative() ? nowNanos : failedNanos,
                 isError ? nowNanos : errorNanos,
-                isError && after >= EPISODE_PROBABILITY ? nowNanos : episodeNanos);
+                isError && after >= EPISODE_PROBABILITY ? nowNanos : episodeNanos,
+                observation.isNegative() ? Optional.of(observation) : evidence);
     }
 
     /** Returns an estimate with a probability that other VMs have determined at this time. */
@@ -86,7 +95,8 @@
                 nowNanos,
                 isFailing ? nowNanos : failedNanos,
                 errorNanos,
-                isFailing && bounded >= EPISODE_PROBABILITY ? nowNanos : episodeNanos);
+                isFailing && bounded >= EPISODE_PROBABILITY ? nowNanos : episodeNanos,
+                isFailing ? Optional.empty() : evidence);
     }
 
     /** Returns the probability at a time; without observations it converges to {@link #BASE_PROBABILITY}. */
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -292,6 +292,7 @@
         ServerAttempt attempt = new ServerAttempt(
                 context, send.attempt(), send.server(), requestId, ServerBodies.isLarge(request), this);
         attempts.add(attempt);
+        requestLog.attemptStarted(attempt);
         writer.send(attempt);
     }
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestLog.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestLog.java
@@ -3,13 +3,18 @@
 import io.coppershelf.catalog.Catalog;
 import io.coppershelf.dispatch.ChoiceInputs;
 import io.coppershelf.eventlog.Fields;
+import io.coppershelf.health.estimate.Observation;
 import io.coppershelf.overload.AdmissionInputs;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** Writes the log lines and metrics of one request. */
 final class RequestLog {
+    /** Time without a request after which the next one to a server is logged. */
+    private static final Duration IDLE = Duration.ofSeconds(2);
+
     private final TrafficContext context;
     private final ResolvedRequest resolved;
     private final String service;
@@ -79,6 +84,26 @@
         fields.put("workMs", inputs.work().toMillis());
     }
 
+    /** Logs the first attempt at a server that has had no request for two seconds, and why it was avoided. */
+    void attemptStarted(ServerAttempt attempt) {
+        ChoiceInputs inputs = attempt.inputs();
+        inputs.idleTime()
+                .filter(time -> time.compareTo(IDLE) > 0)
+                .ifPresent(time -> context.log()
+                        .routine(
+                                "server-used-again",
+                                Fields.of(
+                                        "request", requestId,
+                                        "server", attempt.target(),
+                                        "service", service,
+                                        "idleMs", time.toMillis(),
+                                        "evidence",
+                                                inputs.evidence()
+                                                        .map(Observation::name)
+                                                        .orElse(""),
+                                        "sicknessThen", inputs.unhealthyProbability())));
+    }
+
     /** Logs the end of an attempt that gave no good answer. */
     void attemptEnded(Attempt attempt, int number, String end, String detail) {
         Catalog catalog = context.state().catalog();
--- a/coppershelf/src/test/java/io/coppershelf/health/estimate/HealthEstimateTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/health/estimate/HealthEstimateTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -97,6 +98,15 @@
         assertThat(estimate.isTestDue(3 * SECOND)).isFalse();
     }
 
+    /** Guards against logs that don't tell why a server was avoided. */
+    @Test
+    void lastNegativeObservationIsTheEvidence() {
+        HealthEstimate estimate = HealthEstimate.initial(0).after(Observation.SUCCESS, 0);
+        assertThat(estimate.evidence()).isEqualTo(Optional.empty());
+        HealthEstimate stalled = estimate.after(Observation.FAILURE, 0).after(Observation.STALL, 0);
+        assertThat(stalled.after(Observation.SUCCESS, 0).evidence()).isEqualTo(Optional.of(Observation.STALL));
+    }
+
     @Test
     void serverIsUnstableForAWhileAfterAnEpisodeAndNotAfterASingleFailure() {
         HealthEstimate estimate = HealthEstimate.initial(0);
