Add failing tests of services whose servers are avoided for too long

- HealthyServerUseTest: no server of a service with large requests or answers only is kept in use, with 36 and 91 VMs.

--- a/coppershelf/src/test/java/io/coppershelf/dispatch/HealthyServerUseTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/HealthyServerUseTest.java
@@ -19,6 +19,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -58,6 +59,18 @@
     @ParameterizedTest
     @CsvSource({"36, REPEATABLE", "36, ONCE", "91, REPEATABLE", "91, ONCE"})
     void eachHealthyServerGetsARequestInAnyTwoSeconds(int size, RequestKind kind) {
+        play(size, kind);
+    }
+
+    /** Guards against services below their floor since all their requests or answers are large. */
+    @ParameterizedTest
+    @CsvSource({"36, LARGE_REQUEST", "36, LARGE_ANSWER", "91, LARGE_REQUEST", "91, LARGE_ANSWER"})
+    @Tag("known-red")
+    void eachHealthyServerGetsARequestIfAllAreLarge(int size, RequestKind kind) {
+        play(size, kind);
+    }
+
+    private void play(int size, RequestKind kind) {
         SimulatedMesh mesh = new SimulatedMesh(size, DATA_CENTRES, 0, this::at, END);
         for (int i = 0; i < SERVERS; i++) {
             add(mesh, i, 0);
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/RecoveredServerUseTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RecoveredServerUseTest.java
@@ -20,4 +20,13 @@
         RecoveringFleet fleet = new RecoveringFleet(size, 64, 117, RequestKind.REPEATABLE, seed);
         assertWithMessage(fleet.toString()).that(fleet.idleMillis()).isEmpty();
     }
+
+    /** Guards against a service below its floor since servers that failed shortly are avoided for much longer. */
+    @ParameterizedTest
+    @CsvSource({"36, ONCE, 1", "94, ONCE, 1", "94, ONCE, 2", "94, LARGE_REQUEST, 1"})
+    @Tag("known-red")
+    void enoughRecoveredServersAreInUseIfNoRequestMayBeLost(int size, RequestKind kind, long seed) {
+        RecoveringFleet fleet = new RecoveringFleet(size, 64, 117, kind, seed);
+        assertWithMessage(fleet.toString()).that(fleet.belowFloorShare()).isEqualTo(0.0);
+    }
 }
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/RecoveringFleet.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RecoveringFleet.java
@@ -46,6 +46,9 @@
     private static final long SOUND_AFTER = 2 * SECOND;
 
     private static final long WINDOW = 2 * SECOND;
+    /** Share of the sound servers that has to get a request in any window. */
+    private static final double FLOOR_SHARE = 0.7;
+
     private static final long CHECKED_FROM = 10 * SECOND;
     private static final long END = 60 * SECOND;
     private static final long REPLACEMENT = 30 * SECOND;
@@ -68,6 +71,8 @@
     private int failed;
     private int windows;
     private int idleWindows;
+    private int checks;
+    private int checksBelowFloor;
     private int episodes;
     private int failedInEpisodes;
 
@@ -114,6 +119,11 @@
         return idle;
     }
 
+    /** Returns the share of the time in which too few of the sound servers had a request. */
+    double belowFloorShare() {
+        return checksBelowFloor / (double) checks;
+    }
+
     /** Returns the share of requests that failed. */
     double failedShare() {
         return failed / (double) requests;
@@ -127,13 +137,14 @@
     @Override
     public String toString() {
         return String.format(
-                "%d requests, failed %.4f, %d episodes, %.2f failed attempts each, idle share %.4f, idle servers %d by the last"
-                        + " evidence against them %s",
+                "%d requests, failed %.4f, %d episodes, %.2f failed attempts each, idle share %.4f, below the floor %.4f,"
+                        + " idle servers %d by the last evidence against them %s",
                 requests,
                 failedShare(),
                 episodes,
                 failuresPerEpisode(),
                 idleWindows / (double) windows,
+                belowFloorShare(),
                 idle.size(),
                 idleByEvidence);
     }
@@ -170,6 +181,8 @@
     }
 
     private void check() {
+        int sound = 0;
+        int used = 0;
         for (BackendServer server : servers) {
             Server state = states.get(server);
             boolean isSound =
@@ -178,12 +191,16 @@
                 continue;
             }
             windows++;
+            sound++;
+            used += now - state.lastRequest > WINDOW ? 0 : 1;
             if (now - state.lastRequest > WINDOW) {
                 idleWindows++;
                 idle.merge(server.id(), (int) ((now - state.lastRequest) / MILLI), Math::max);
                 state.lastEvidence.ifPresent(evidence -> idleByEvidence.merge(evidence, 1, Integer::sum));
             }
         }
+        checks++;
+        checksBelowFloor += used < FLOOR_SHARE * sound ? 1 : 0;
     }
 
     private final class Server {
