Return to servers sooner, whatever speaks against them

Cause: evidence against a server lasted longer than its failure. Only a failed answer was tested; after a stall, a refusal or an estimate of other VMs nothing sent the server a request for 11 s. Requests that can't be retried waited 11 s after any failure. A request that failed before its start was reported was not counted as one by the other VMs.

- Requests that can be retried test a server whatever speaks against it.
- A server gets a trial request for the floor 3 s after the last evidence against it; the delay doubles with each trial that fails, up to 11 s.
- A report of no requests in flight where none was known shows that one ended.
- Servers are idle after 1.1 s for a request that can be retried, as reports may be 0.25 s late in a large fleet.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/FleetLoad.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/FleetLoad.java
@@ -35,7 +35,8 @@
      * Records the number of requests that a VM has in flight at a server.
      *
      * @param vm any key that identifies the VM
-     * @return whether the number has grown, so that the VM has sent a request
+     * @return whether the VM has sent a request: the number has grown, or is zero again although no request was
+     *     reported, as a request that fails at once ends before its start is reported
      */
     public boolean recordInFlight(Object vm, long serverCode, int inFlight, long nowNanos) {
         countedNanos = nowNanos;
@@ -54,7 +55,7 @@
             known.atNanos = nowNanos;
         }
         add(serverCode, Math.max(0, inFlight) - before);
-        return inFlight > before;
+        return inFlight > before || (inFlight <= 0 && known == null);
     }
 
     /** Records the number of requests that all VMs have in flight at a server, as counted in its data centre. */
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServerTracker.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/IdleServerTracker.java
@@ -20,9 +20,9 @@
 public final class IdleServerTracker {
     /**
      * Time without a request after which a server is idle for a request that can be retried; shorter than the two
-     * seconds over which the floor is measured.
+     * seconds over which the floor is measured, by the delay of reports in a large fleet and the wait for a request.
      */
-    private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1300);
+    private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1100);
     /**
      * The same time for a request that can't be retried; longer, so that usually a request that can be retried comes
      * first.
@@ -79,9 +79,15 @@
                 .toList();
     }
 
-    /** Returns whether a server has had no request for so long that another one may test its health. */
-    boolean allowsTest(long serverCode, long nowNanos) {
-        return isIdle(serverCode, TEST_INTERVAL_NANOS, nowNanos);
+    /**
+     * Returns whether a server has had no request for so long that another one may test its health. After a recent
+     * error, which shows that there was a request, this takes longer, as the test would most likely fail, but no longer
+     * than a healthy server may be idle.
+     */
+    boolean allowsTest(long serverCode, boolean hasRecentError, long nowNanos) {
+        return hasRecentError
+                ? lastRequestNanos.containsKey(serverCode) && isIdle(serverCode, IDLE_NANOS, nowNanos)
+                : isIdle(serverCode, TEST_INTERVAL_NANOS, nowNanos);
     }
 
     /** Returns the time since the last request to a server, empty if there was none. */
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/ServerChooser.java
@@ -154,13 +154,16 @@
     /** Returns the servers that failed lately and should get a request that can be retried, to test their health. */
     private List<BackendServer> serversToTest(List<BackendServer> servers, long nowNanos) {
         return servers.stream()
-                .filter(server ->
-                        estimates.estimate(stats(server).key(), nowNanos).isTestDue(nowNanos))
-                .filter(server -> idleServers.allowsTest(stats(server).code(), nowNanos))
-                .filter(server -> canTakeTrial(server, nowNanos))
+                .filter(server -> isTestDue(server, nowNanos) && canTakeTrial(server, nowNanos))
                 .toList();
     }
 
+    private boolean isTestDue(BackendServer server, long nowNanos) {
+        HealthEstimate estimate = estimates.estimate(stats(server).key(), nowNanos);
+        return estimate.needsTest(nowNanos)
+                && idleServers.allowsTest(stats(server).code(), estimate.hasRecentError(nowNanos), nowNanos);
+    }
+
     /** Returns the servers that may get a request that tests their health. */
     private List<BackendServer> eligibleForFloor(List<BackendServer> servers, RequestKind kind, long nowNanos) {
         return servers.stream()
@@ -180,9 +183,7 @@
                 && idleServers.isIdle(stats(server).code(), idleNanos, nowNanos);
     }
 
-    /**
-     * Returns whether this VM sees the requests to the server, and the server is not in backoff and has a free slot.
-     */
+    /** Returns whether this VM sees the requests to the server, which is not in backoff and has a free slot. */
     boolean canTakeTrial(BackendServer server, long nowNanos) {
         return isCounted(server.dataCentre()) && isAvailable(server, nowNanos) && hasFreeSlot(server, nowNanos);
     }
--- a/coppershelf/src/main/java/io/coppershelf/health/estimate/HealthEstimate.java
+++ b/coppershelf/src/main/java/io/coppershelf/health/estimate/HealthEstimate.java
@@ -16,6 +16,7 @@
  * @param episodeNanos the monotonic time at which the server was last known to be in a failure episode,
  *     {@link Long#MIN_VALUE} if it never was
  * @param evidence the last negative observation, empty before the first and if only other VMs know what they observed
+ * @param failedTrials the trial requests that failed since the server was last not suspected
  */
 public record HealthEstimate(
         double unhealthyProbability,
@@ -23,7 +24,8 @@
         long failedNanos,
         long errorNanos,
         long episodeNanos,
-        Optional<Observation> evidence) {
+        Optional<Observation> evidence,
+        int failedTrials) {
     /**
      * Mean duration of the unhealthy state, in seconds; gray failures in the expected workloads last several seconds.
      */
@@ -44,10 +46,12 @@
     /** Smallest probability at which a server is logged as suspected. */
     private static final double SUSPECTED_PROBABILITY = 0.4;
     /**
-     * Time after which most gray failures are over, in seconds; a server whose last failure is older may get a trial
-     * request.
+     * Time after the last negative observation from which the server may get a trial request, in seconds; short
+     * failures are over by then. It doubles with each trial that fails.
      */
-    private static final double TRIAL_DELAY_SECONDS = 11;
+    private static final double MIN_TRIAL_DELAY_SECONDS = 3;
+    /** Longest such time, in seconds; most gray failures are over by then. */
+    private static final double MAX_TRIAL_DELAY_SECONDS = 11;
     /**
      * Smallest probability at which a failure belongs to an episode; a single failure of a server with recent successes
      * does not reach it.
@@ -55,7 +59,7 @@
     private static final double EPISODE_PROBABILITY = 0.85;
     /** Time for which a server is unstable after an episode, in seconds; episodes of a server recur after about 9 s. */
     private static final double UNSTABLE_SECONDS = 30;
-    /** Time after a failure from which a request that can be retried tests the server, in seconds. */
+    /** Time after a failed answer during which the server is not tested if it had a request lately, in seconds. */
     private static final double TEST_DELAY_SECONDS = 1;
     /** Tolerance for comparisons of probabilities. */
     private static final double TOLERANCE = 1e-6;
@@ -68,7 +72,7 @@
     /** Returns the estimate for a server without observations. */
     public static HealthEstimate initial(long nowNanos) {
         return new HealthEstimate(
-                BASE_PROBABILITY, nowNanos, Long.MIN_VALUE, Long.MIN_VALUE, Long.MIN_VALUE, Optional.empty());
+                BASE_PROBABILITY, nowNanos, Long.MIN_VALUE, Long.MIN_VALUE, Long.MIN_VALUE, Optional.empty(), 0);
     }
 
     /** Returns the estimate after an observation. */
@@ -83,7 +87,16 @@
                 observation.isNegative() ? nowNanos : failedNanos,
                 isError ? nowNanos : errorNanos,
                 isError && after >= EPISODE_PROBABILITY ? nowNanos : episodeNanos,
-                observation.isNegative() ? Optional.of(observation) : evidence);
+                observation.isNegative() ? Optional.of(observation) : evidence,
+                failedTrialsAfter(observation, after, nowNanos));
+    }
+
+    private int failedTrialsAfter(Observation observation, double probability, long nowNanos) {
+        if (probability < SUSPECTED_PROBABILITY) {
+            return 0;
+        }
+        boolean isFailedTrial = observation.isNegative() && isSuspected(nowNanos) && isTrialDelayOver(nowNanos);
+        return isFailedTrial ? failedTrials + 1 : failedTrials;
     }
 
     /** Returns an estimate with a probability that other VMs have determined at this time. */
@@ -96,7 +109,8 @@
                 isFailing ? nowNanos : failedNanos,
                 errorNanos,
                 isFailing && bounded >= EPISODE_PROBABILITY ? nowNanos : episodeNanos,
-                isFailing ? Optional.empty() : evidence);
+                isFailing ? Optional.empty() : evidence,
+                failedTrials);
     }
 
     /** Returns the probability at a time; without observations it converges to {@link #BASE_PROBABILITY}. */
@@ -121,9 +135,12 @@
      * server without observations, or its last failure is old enough that it may have recovered.
      */
     public boolean allowsTrialRequest(long nowNanos) {
-        boolean isOldFailure =
-                failedNanos != Long.MIN_VALUE && secondsSince(failedNanos, nowNanos) >= TRIAL_DELAY_SECONDS;
-        return isOldFailure || unhealthyProbabilityAt(nowNanos) <= BASE_PROBABILITY + TOLERANCE;
+        return isTrialDelayOver(nowNanos) || !isAboveBase(nowNanos);
+    }
+
+    private boolean isTrialDelayOver(long nowNanos) {
+        double delaySeconds = Math.min(MAX_TRIAL_DELAY_SECONDS, MIN_TRIAL_DELAY_SECONDS * Math.pow(2, failedTrials));
+        return failedNanos != Long.MIN_VALUE && secondsSince(failedNanos, nowNanos) >= delaySeconds;
     }
 
     /** Returns whether the server had a failure episode lately, so that it is likely to have another one soon. */
@@ -139,11 +156,21 @@
         return errorNanos == Long.MIN_VALUE || sentNanos - errorNanos > 0;
     }
 
-    /** Returns whether requests that can be retried should show whether the server still fails. */
-    public boolean isTestDue(long nowNanos) {
-        return errorNanos != Long.MIN_VALUE
-                && secondsSince(errorNanos, nowNanos) >= TEST_DELAY_SECONDS
-                && isUncertain(nowNanos);
+    /**
+     * Returns whether requests that can be retried should show whether the server has recovered, since something speaks
+     * against it, be it a failure, a slow answer, a refusal or an estimate of other VMs.
+     */
+    public boolean needsTest(long nowNanos) {
+        return failedNanos == Long.MIN_VALUE ? isAboveBase(nowNanos) : isUncertain(nowNanos);
+    }
+
+    /** Returns whether the last failed answer is so recent that a test would most likely fail too. */
+    public boolean hasRecentError(long nowNanos) {
+        return errorNanos != Long.MIN_VALUE && secondsSince(errorNanos, nowNanos) < TEST_DELAY_SECONDS;
+    }
+
+    private boolean isAboveBase(long nowNanos) {
+        return unhealthyProbabilityAt(nowNanos) > BASE_PROBABILITY + TOLERANCE;
     }
 
     private static double secondsSince(long fromNanos, long nowNanos) {
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/FleetLoadTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/FleetLoadTest.java
@@ -31,4 +31,13 @@
         load.expire(FleetLoad.EXPIRY_NANOS + 1);
         assertThat(load.inFlightOfOthers(SERVER)).isEqualTo(1);
     }
+
+    /** Guards against servers taken for idle although their requests fail before they are reported. */
+    @Test
+    void reportOfARequestThatHasAlreadyEndedShowsThatThereWasOne() {
+        assertThat(load.recordInFlight("vm-1", SERVER, 0, 0)).isTrue();
+        assertThat(load.recordInFlight("vm-1", SERVER, 1, 1)).isTrue();
+        assertThat(load.recordInFlight("vm-1", SERVER, 0, 2)).isFalse();
+        assertThat(load.inFlightOfOthers(SERVER)).isEqualTo(0);
+    }
 }
