Refuse requests that can't end before a planned stop, and answer the rest

Callers: in a planned stop requests that came late in the grace time were passed on and cut at its end without an answer, among them requests that run at most once. Requests that were half read when reading stopped were cut.

Cause: a VM that stops read requests for a fixed time, whatever they need and however long it still has, and ended without a word to those that were left.

- A request whose usual latency exceeds the time left is refused at once (503, not run, Connection: close, Retry-After: 0), so that it goes to another VM.
- Requests that still run 0.2 s before the end of the process are answered with what is known of them: 502 if they may have run.
- A request that is half read when reading stops is refused as not run; the rest of it is read and discarded for a second, so that no reset takes the refusal along.
Its connection no longer counts as idle.
- The process ends only when all callers' connections are closed, or at its limit.

--- a/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/RequestPlan.java
@@ -143,6 +143,11 @@
         return steps;
     }
 
+    /** Ends the request before its deadline, as no answer can be awaited any longer. */
+    public List<PlanStep> abort(long nowNanos) {
+        return isEnded ? List.of() : end(nowNanos);
+    }
+
     /** Returns when {@link #timerExpired} has to be called next. */
     public long nextTimer(long nowNanos) {
         long next = deadlineNanos;
--- a/coppershelf/src/main/java/io/coppershelf/dispatch/TypicalLatency.java
+++ b/coppershelf/src/main/java/io/coppershelf/dispatch/TypicalLatency.java
@@ -38,6 +38,11 @@
         return samples < WARM_UP_SAMPLES ? otherwise.toNanos() : (long) meanNanos;
     }
 
+    /** Returns the latency that few answers of healthy servers exceed; 0 until it is known. */
+    public long likelyNanos() {
+        return samples < WARM_UP_SAMPLES ? 0 : (long) upperNanos();
+    }
+
     /** Returns the time after which an answer is slow for the route. */
     public long slowNanos(Duration objective) {
         double minNanos = MIN_SLOW_SHARE * objective.toNanos();
@@ -45,7 +50,11 @@
         if (samples < WARM_UP_SAMPLES) {
             return (long) ((minNanos + maxNanos) / 2);
         }
-        return (long) Math.min(maxNanos, Math.max(minNanos, meanNanos + SLOW_DEVIATIONS * deviationNanos));
+        return (long) Math.min(maxNanos, Math.max(minNanos, upperNanos()));
+    }
+
+    private double upperNanos() {
+        return meanNanos + SLOW_DEVIATIONS * deviationNanos;
     }
 
     /** Returns the time after which the server counts as stalled. */
--- a/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
+++ b/coppershelf/src/main/java/io/coppershelf/gateway/Gateway.java
@@ -24,6 +24,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.IntSupplier;
 
 /** The running daemon, with one thread for the control state and one for traffic. */
 public final class Gateway {
@@ -37,6 +38,8 @@
      * the other half of the six seconds until the process is killed is left for requests that were read.
      */
     private static final Duration READ_CUTOFF = Duration.ofSeconds(3);
+    /** Time before the end of the stop at which requests in flight are broken off, so that their callers are told. */
+    private static final Duration BREAK_OFF_MARGIN = Duration.ofMillis(200);
     /** Deducted from the stop limit, so that the process exits before it is killed. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
 
@@ -119,25 +122,31 @@
 
     /**
      * Stops accepting requests and waits until those in flight are answered. Until the load balancer has detected that
-     * the VM is not ready, new requests are still served.
+     * the VM is not ready, new requests are still served if they are likely to end in time. Requests that still run at
+     * the end are broken off.
      */
     public void stop() throws InterruptedException {
         long startNanos = System.nanoTime();
         log.important("stopping", Fields.of("underWay", traffic.requestsInFlight()));
         state.announceStop();
+        long endNanos = startNanos + settings.stopLimit().minus(STOP_MARGIN).toNanos();
+        long breakOffNanos = endNanos - BREAK_OFF_MARGIN.toNanos();
+        traffic.stopAt(breakOffNanos);
         TimeUnit.NANOSECONDS.sleep(BALANCER_DETECTION.toNanos());
-        long limitNanos = settings.stopLimit().minus(STOP_MARGIN).toNanos();
         traffic.closeIdleConnections();
-        awaitAnswers(startNanos + READ_CUTOFF.toNanos());
+        awaitNone(traffic::requestsInFlight, startNanos + READ_CUTOFF.toNanos());
         traffic.stopReading();
-        awaitAnswers(startNanos + limitNanos);
-        log.important("stopped", Fields.of("underWay", traffic.requestsInFlight()));
+        awaitNone(traffic::connections, breakOffNanos);
+        int brokenOff = traffic.requestsInFlight();
+        traffic.breakOff();
+        awaitNone(traffic::connections, endNanos);
+        log.important("stopped", Fields.of("underWay", traffic.requestsInFlight(), "brokenOff", brokenOff));
     }
 
-    private void awaitAnswers(long limitNanos) throws InterruptedException {
+    private static void awaitNone(IntSupplier count, long limitNanos) throws InterruptedException {
         do {
             TimeUnit.MILLISECONDS.sleep(STOP_POLL_MILLIS);
-        } while (traffic.requestsInFlight() > 0 && System.nanoTime() - limitNanos < 0);
+        } while (count.getAsInt() > 0 && System.nanoTime() - limitNanos < 0);
     }
 
     /** Serves the metrics; a VM whose metrics can't be served still serves callers. */
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -18,8 +18,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -100,7 +98,7 @@
 
     private void read(HttpObject message) {
         if (message.decoderResult().isFailure()) {
-            refuse(malformed(message.decoderResult().cause()), "the request can't be read");
+            refuse(CallerRequest.unreadableFor(message.decoderResult().cause()), "the request can't be read");
             return;
         }
         if (message instanceof HttpRequest request) {
@@ -178,13 +176,12 @@
     }
 
     private void start(CallerRequest request, ResolvedRequest resolved, AnswerSink sink) {
-        RequestExecution next = new RequestExecution(
-                context,
-                resolved,
-                context.roundRobin().next(resolved.route()),
-                request,
-                routes.callerTimeout(request),
-                sink);
+        String service = context.roundRobin().next(resolved.route());
+        if (routes.isRefusedByStop(request, resolved, service, sink)) {
+            return;
+        }
+        RequestExecution next =
+                new RequestExecution(context, resolved, service, request, routes.callerTimeout(request), sink);
         execution = Optional.of(next);
         next.start();
     }
@@ -242,15 +239,32 @@
 
     /** Closes the connection unless a request is being read, queued or served. */
     void closeIfIdle() {
-        if (!isBusy && head.isEmpty() && queued.isEmpty() && !isWriting()) {
+        if (!isBusy && headTimer.isEmpty() && head.isEmpty() && queued.isEmpty() && !isWriting()) {
             channel.close();
         }
     }
 
-    /** Stops reading; requests that the caller sends from now on stay unread. */
+    /**
+     * Stops reading, as the VM stops. A request that is half read is refused, but for one behind another request, which
+     * is closed with the connection after the answer to that.
+     */
     void stopReading() {
+        if (isClosing) {
+            return;
+        }
+        if (!isBusy && (head.isPresent() || headTimer.isPresent())) {
+            refuse(ErrorKind.STOPPING, "the VM stops");
+            return;
+        }
+        isBodyUnread = head.isPresent();
         isReadingStopped = true;
         updateReading();
+        closeIfIdle();
+    }
+
+    /** Answers the request in flight with what is known of it, as the VM stops. */
+    void abort() {
+        execution.ifPresent(RequestExecution::abort);
     }
 
     private boolean isWriting() {
@@ -278,7 +292,7 @@
             return;
         }
         isClosing = true;
-        isBodyUnread = head.isPresent();
+        isBodyUnread = head.isPresent() || headTimer.isPresent();
         head = Optional.empty();
         body.ifPresent(CallerBody::release);
         body = Optional.empty();
@@ -291,11 +305,6 @@
         sink(unreadable).fail(kind, reason, kind.retryAfter());
     }
 
-    private static ErrorKind malformed(Throwable cause) {
-        boolean isTooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        return isTooLong ? ErrorKind.HEAD_TOO_LARGE : ErrorKind.MALFORMED_REQUEST;
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext handlerContext) {
         isClosing = true;
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerRequest.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerRequest.java
@@ -1,10 +1,13 @@
 package io.coppershelf.proxy;
 
+import io.coppershelf.outcome.ErrorKind;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.util.Optional;
 
 /**
@@ -67,4 +70,10 @@
         Optional<Relay> relay = isRelayed ? Optional.of(new Relay(sender, 0)) : Optional.empty();
         return new CallerRequest(sender, relay, HttpMethod.GET, "", new DefaultHttpHeaders(), new byte[0], 0, false);
     }
+
+    /** Returns the error of a request whose head or body can't be decoded. */
+    static ErrorKind unreadableFor(Throwable cause) {
+        boolean isTooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        return isTooLong ? ErrorKind.HEAD_TOO_LARGE : ErrorKind.MALFORMED_REQUEST;
+    }
 }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RelayAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RelayAttempt.java
@@ -1,5 +1,6 @@
 package io.coppershelf.proxy;
 
+import io.coppershelf.dispatch.RelayTargets;
 import io.coppershelf.http.AnswerListener;
 import io.coppershelf.http.HttpAnswer;
 import io.coppershelf.http.HttpConnection;
@@ -52,6 +53,16 @@
         return RetryAfter.parse(answer().headers());
     }
 
+    /** Records whether the other VM reaches the service. */
+    void recordReach(String service, End end, long nowNanos) {
+        RelayTargets relays = context.reachableChooser().relays();
+        if (end == End.NOT_SENT || (end == End.NOT_RUN && isOutOfReach())) {
+            relays.notReached(service, vm, nowNanos);
+        } else if (end != End.LOST) {
+            relays.reached(service, vm);
+        }
+    }
+
     @Override
     public String target() {
         return vm.toString();
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -129,6 +129,11 @@
         recordEnd("caller-left", "the caller closed its connection", false);
     }
 
+    /** Ends the request with what is known of it, as the VM stops. */
+    void abort() {
+        execute(plan.abort(System.nanoTime()));
+    }
+
     @Override
     public Optional<BackendServer> choose(Set<String> excluded, boolean isLastAttempt) {
         Set<String> unsuitable = context.serverBodies().unsuitable(request, accepting(), excluded);
@@ -224,7 +229,7 @@
             requestLog.attemptEnded(attempt, number, end.name(), detail);
         }
         if (attempt instanceof RelayAttempt relayed) {
-            recordRelay(relayed, end, now);
+            relayed.recordReach(service, end, now);
         }
         execute(
                 switch (end) {
@@ -236,14 +241,6 @@
                 });
     }
 
-    private void recordRelay(RelayAttempt attempt, Attempt.End end, long nowNanos) {
-        if (end == Attempt.End.NOT_SENT || (end == Attempt.End.NOT_RUN && attempt.isOutOfReach())) {
-            context.reachableChooser().relays().notReached(service, attempt.vm(), nowNanos);
-        } else if (end != Attempt.End.LOST) {
-            context.reachableChooser().relays().reached(service, attempt.vm());
-        }
-    }
-
     private List<PlanStep> notRun(Attempt attempt, int number, long nowNanos) {
         return attempt instanceof RelayAttempt relayed
                 ? plan.relayNotRun(number, relayed.serversReached(), relayed.retryAfter(), nowNanos)
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficContext.java
@@ -39,7 +39,8 @@
         ServerBodies serverBodies,
         CrashRecords crashes,
         AdmissionGate admission,
-        Map<String, TypicalLatency> latencies) {
+        Map<String, TypicalLatency> latencies,
+        StopDeadline stopDeadline) {
 
     static TrafficContext create(
             EventLoop loop,
@@ -77,7 +78,8 @@
                 serverBodies,
                 crashes,
                 admission,
-                new HashMap<>());
+                new HashMap<>(),
+                new StopDeadline());
     }
 
     /** Returns the typical latency of a service for one kind of requests, whatever their route. */
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -201,7 +201,19 @@
                         channel.pipeline().get(CallerConnection.class).closeIfIdle()));
     }
 
-    /** Stops accepting connections and reading requests; requests that were read are answered. */
+    /**
+     * Refuses requests that are not likely to end in time from now on.
+     *
+     * @param nanos the monotonic time at which requests in flight are broken off
+     */
+    public void stopAt(long nanos) {
+        context.loop().execute(() -> context.stopDeadline().set(nanos));
+    }
+
+    /**
+     * Stops accepting connections and reading requests. Requests that were read are answered, and those that are half
+     * read are refused.
+     */
     public void stopReading() {
         context.loop()
                 .submit(() -> {
@@ -212,6 +224,18 @@
                 .syncUninterruptibly();
     }
 
+    /** Answers all requests in flight with what is known of them. */
+    public void breakOff() {
+        context.loop()
+                .execute(() -> callers.forEach(channel ->
+                        channel.pipeline().get(CallerConnection.class).abort()));
+    }
+
+    /** Returns the number of open connections of callers. */
+    public int connections() {
+        return callers.size();
+    }
+
     private void report() {
         context.admission().report();
         idleServerReport.report(context.state().catalog().servers(), System.nanoTime());
