--- a/coppershelf/src/test/java/io/coppershelf/dispatch/RecoveringFleet.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RecoveringFleet.java
@@ -235,7 +235,7 @@
     private record Attempt(BackendServer server, long sentNanos) {}
 
     /** A request that follows its plan. */
-    private final class Request implements AttemptAllocator {
+    private final class Request extends UnimpededAllocator {
         private final Vm vm;
         private final RequestPlan plan;
         private final List<Attempt> attempts = new ArrayList<>();
@@ -336,31 +336,6 @@
             return vm.chooser.choose(servers, kind, isLastAttempt, excluded, now);
         }
 
-        @Override
-        public Optional<Duration> pause() {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<Duration> quarantine() {
-            return Optional.empty();
-        }
-
-        @Override
-        public boolean isCutOff() {
-            return false;
-        }
-
-        @Override
-        public boolean isOutOfReach(Set<String> excluded) {
-            return false;
-        }
-
-        @Override
-        public Optional<InetSocketAddress> relay(Set<InetSocketAddress> excluded) {
-            return Optional.empty();
-        }
-
         @Override
         public boolean canRetry() {
             return vm.budget.canAcquire("rota", vm.size, now);
