--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerConnection.java
@@ -98,7 +98,7 @@
 
     private void read(HttpObject message) {
         if (message.decoderResult().isFailure()) {
-            refuse(CallerRequest.unreadableFor(message.decoderResult().cause()), "the request can't be read");
+            refuse(CallerRequest.decodingError(message.decoderResult().cause()), "the request can't be read");
             return;
         }
         if (message instanceof HttpRequest request) {
@@ -177,7 +177,7 @@
 
     private void start(CallerRequest request, ResolvedRequest resolved, AnswerSink sink) {
         String service = context.roundRobin().next(resolved.route());
-        if (routes.isRefusedByStop(request, resolved, service, sink)) {
+        if (routes.refuseIfTooLate(request, resolved, service, sink)) {
             return;
         }
         RequestExecution next =
--- a/coppershelf/src/main/java/io/coppershelf/proxy/CallerRequest.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/CallerRequest.java
@@ -72,7 +72,7 @@
     }
 
     /** Returns the error of a request whose head or body can't be decoded. */
-    static ErrorKind unreadableFor(Throwable cause) {
+    static ErrorKind decodingError(Throwable cause) {
         boolean isTooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
         return isTooLong ? ErrorKind.HEAD_TOO_LARGE : ErrorKind.MALFORMED_REQUEST;
     }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RouteResolver.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RouteResolver.java
@@ -77,8 +77,8 @@
         return Optional.empty();
     }
 
-    /** Refuses a request that is not likely to end before the VM stops; returns whether it does. */
-    boolean isRefusedByStop(CallerRequest request, ResolvedRequest resolved, String service, AnswerSink sink) {
+    /** Refuses a request that is not likely to end before the VM stops; returns whether it was refused. */
+    boolean refuseIfTooLate(CallerRequest request, ResolvedRequest resolved, String service, AnswerSink sink) {
         TypicalLatency latency =
                 context.latency(service, resolved.route().kind().name());
         if (context.stopDeadline().allows(latency, System.nanoTime())) {
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/PathLossRequest.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/PathLossRequest.java
@@ -6,7 +6,6 @@
 import io.coppershelf.outcome.ErrorKind;
 import io.coppershelf.testing.Catalogs;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -15,7 +14,7 @@
 import java.util.function.Supplier;
 
 /** A request at one VM, executed as the plan says. */
-final class PathLossRequest implements AttemptAllocator {
+final class PathLossRequest extends UnimpededAllocator {
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final int SLOTS = 6;
@@ -129,16 +128,6 @@
         return vm.reachable.choose(fleet.servers(), RequestKind.ONCE, isLastAttempt, excluded, fleet.now());
     }
 
-    @Override
-    public Optional<Duration> pause() {
-        return Optional.empty();
-    }
-
-    @Override
-    public Optional<Duration> quarantine() {
-        return Optional.empty();
-    }
-
     @Override
     public boolean isCutOff() {
         return vm.reachability.isCutOff();
--- a/coppershelf/src/test/java/io/coppershelf/dispatch/RecoveringFleet.java
+++ b/coppershelf/src/test/java/io/coppershelf/dispatch/RecoveringFleet.java
@@ -124,25 +124,15 @@
         return checksBelowFloor / (double) checks;
     }
 
-    /** Returns the share of requests that failed. */
-    double failedShare() {
-        return failed / (double) requests;
-    }
-
-    /** Returns the requests that an episode fails on average. */
-    double failuresPerEpisode() {
-        return failedInEpisodes / (double) Math.max(1, episodes);
-    }
-
     @Override
     public String toString() {
         return String.format(
                 "%d requests, failed %.4f, %d episodes, %.2f failed attempts each, idle share %.4f, below the floor %.4f,"
                         + " idle servers %d by the last evidence against them %s",
                 requests,
-                failedShare(),
+                failed / (double) requests,
                 episodes,
-                failuresPerEpisode(),
+                failedInEpisodes / (double) Math.max(1, episodes),
                 idleWindows / (double) windows,
                 belowFloorShare(),
                 idle.size(),
@@ -192,8 +182,9 @@
             }
             windows++;
             sound++;
-            used += now - state.lastRequest > WINDOW ? 0 : 1;
-            if (now - state.lastRequest > WINDOW) {
+            if (now - state.lastRequest <= WINDOW) {
+                used++;
+            } else {
                 idleWindows++;
                 idle.merge(server.id(), (int) ((now - state.lastRequest) / MILLI), Math::max);
                 state.lastEvidence.ifPresent(evidence -> idleByEvidence.merge(evidence, 1, Integer::sum));
--- a/coppershelf/src/test/java/io/coppershelf/gateway/CutOffVmTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/gateway/CutOffVmTest.java
@@ -27,7 +27,7 @@
     @BeforeEach
     void startServers() throws IOException {
         for (int i = 0; i < SERVERS; i++) {
-            servers.add(FakeBackendServer.start(CutOffVmTest::answer));
+            servers.add(FakeBackendServer.start(LoopbackGateway::answer));
         }
     }
 
@@ -81,13 +81,4 @@
         return LoopbackGateway.start(mesh, meshAddress, serverPorts, Duration.ofMillis(2500))
                 .callers();
     }
-
-    private static byte[] answer(FakeBackendServer.Received request) {
-        return request.rawAnswer(
-                200,
-                "whole",
-                "Request-Id: " + request.headers().get("request-id"),
-                "Signature: s",
-                "Content-Length: 5");
-    }
 }
--- a/coppershelf/src/test/java/io/coppershelf/gateway/LoopbackGateway.java
+++ b/coppershelf/src/test/java/io/coppershelf/gateway/LoopbackGateway.java
@@ -13,11 +13,12 @@
 import io.coppershelf.catalog.WeightedService;
 import io.coppershelf.eventlog.EventLog;
 import io.coppershelf.http.BodyLimit;
-import io.coppershelf.proxy.HeaderNames;
 import io.coppershelf.testing.Catalogs;
 import io.coppershelf.testing.Conditions;
+import io.coppershelf.testing.FakeBackendServer;
 import io.coppershelf.testing.FreePorts;
 import io.coppershelf.testing.RawCaller;
+import io.coppershelf.testing.TestHeaders;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -57,17 +58,7 @@
                 Optional.of(FreePorts.address()),
                 List.of(seed),
                 Optional.empty(),
-                new HeaderNames(
-                        "Request-Id",
-                        "Deadline",
-                        "Target",
-                        "Signature",
-                        "Not-Run",
-                        "Leaving",
-                        "Limit",
-                        "Load",
-                        "Api-Key",
-                        "Customer"),
+                TestHeaders.NAMES,
                 0.2,
                 58,
                 Duration.ofSeconds(10),
@@ -79,6 +70,16 @@
         return new LoopbackGateway(gateway, callers);
     }
 
+    /** Returns the answer of a server to a request. */
+    static byte[] answer(FakeBackendServer.Received request) {
+        return request.rawAnswer(
+                200,
+                "whole",
+                "Request-Id: " + request.headers().get("request-id"),
+                "Signature: s",
+                "Content-Length: 5");
+    }
+
     private static boolean isReady(InetSocketAddress readiness) {
         try {
             return RawCaller.exchange(readiness, "GET /readiness HTTP/1.1\nHost: host\n\n")
--- a/coppershelf/src/test/java/io/coppershelf/gateway/PlannedStopTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/gateway/PlannedStopTest.java
@@ -124,12 +124,7 @@
 
     private static byte[] answer(FakeBackendServer.Received request) {
         pause(request.target().startsWith("/once/long") ? Duration.ofSeconds(15) : WORK);
-        return request.rawAnswer(
-                200,
-                "whole",
-                "Request-Id: " + request.headers().get("request-id"),
-                "Signature: s",
-                "Content-Length: 5");
+        return LoopbackGateway.answer(request);
     }
 
     private CompletableFuture<Void> stop() {
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -21,6 +21,7 @@
 import io.coppershelf.testing.FakeBackendServer;
 import io.coppershelf.testing.FreePorts;
 import io.coppershelf.testing.RawCaller;
+import io.coppershelf.testing.TestHeaders;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -40,18 +41,6 @@
 
 /** A traffic path on the loopback interface with routes of each kind to one service. */
 final class ProxyFixture implements AutoCloseable {
-    static final HeaderNames NAMES = new HeaderNames(
-            "Request-Id",
-            "Deadline",
-            "Target",
-            "Signature",
-            "Not-Run",
-            "Leaving",
-            "Limit",
-            "Load",
-            "Api-Key",
-            "Customer");
-
     private static final int MAX_HEAD_BYTES = 2000;
     private static final int MAX_BODY_BYTES = 5000;
     private static final int MAX_UPLOAD_BYTES = 1_000_000;
@@ -87,7 +76,7 @@
         address = FreePorts.address();
         server = new TrafficServer(
                 group.next(),
-                NAMES,
+                TestHeaders.NAMES,
                 state,
                 new HealthEstimates(),
                 new FleetLoad(),
