Refuse heads that are put together from two answers

What callers saw: requests that may run once ran at two servers, or were answered 503 although they had run; by the same cause a 500 could be delivered as 200.

Cause: Netty's decoder kept the beginning of a broken second copy of an answer and completed it with the next answer on the connection. Status and proof of "not run" were those of the old answer, the id was that of the new one. Bytes that were less than a line were noticed neither when the connection became idle nor when it was used again.

Change: AnswerReader reads answers strictly by RFC 9112, without a connection or a clock. Wherever an answer is broken off, the status line of the next one ends up within a line or as a line of its own; both are refused, and so are decisive fields that stand twice. Any byte without a request ends the connection before it is used again.

Evidence: BrokenCopyTest, all six cases failed on ("not run" for a request that ran, after 42 bytes of the refusal; 200 instead of 500, after 13 bytes of the success; the next request lost in the other four), and pass now. AnswerReaderTest joins three kinds of answers at each byte.

Why it works: TCP keeps the order, so an intact answer that follows a broken one always brings a status line into the head of the first. Only an answer that follows a copy which arrived after the request was sent is given up (502, unknown); at the other moments the connection is replaced and the request is served.

--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
@@ -7,14 +7,11 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -46,12 +43,13 @@
     private static final int MAX_BODY_COMPONENTS = 1024;
 
     private final BodyMemory memory;
+    private final AnswerReader reader;
     private final BodyOwner owner = new AnswerOwner();
     private final Consumer<HttpConnection> onReusable;
     private final Consumer<HttpConnection> onClosed;
     private Channel channel;
     private Optional<AnswerListener> listener = Optional.empty();
-    private Optional<HttpResponse> head = Optional.empty();
+    private Optional<AnswerHead> head = Optional.empty();
     private CompositeByteBuf body = Unpooled.compositeBuffer(MAX_BODY_COMPONENTS);
     private boolean isRequestWritten;
     private boolean isBroken;
@@ -64,8 +62,13 @@
     private long idleLimitNanos = DEFAULT_IDLE_NANOS;
     private long idleSinceNanos;
 
-    HttpConnection(BodyMemory memory, Consumer<HttpConnection> onReusable, Consumer<HttpConnection> onClosed) {
+    HttpConnection(
+            BodyMemory memory,
+            Set<String> singleFields,
+            Consumer<HttpConnection> onReusable,
+            Consumer<HttpConnection> onClosed) {
         this.memory = memory;
+        reader = new AnswerReader(singleFields);
         this.onReusable = onReusable;
         this.onClosed = onClosed;
     }
@@ -85,6 +88,7 @@
         hasSkippedAnswer = false;
         skippedAnswers = 0;
         hasPaused = false;
+        reader.expectBody(!request.method().equals(HttpMethod.HEAD));
         channel.writeAndFlush(request).addListener(written -> isRequestWritten = written.isSuccess());
     }
 
@@ -121,37 +125,43 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        ByteBuf bytes = (ByteBuf) message;
         try {
-            read((HttpObject) message);
+            read(bytes);
+        } catch (InvalidAnswerException e) {
+            fail(true, "not an answer: " + e.getMessage());
         } finally {
-            ReferenceCountUtil.release(message);
+            bytes.release();
         }
     }
 
-    private void read(HttpObject message) {
-        if (message.decoderResult().isFailure()) {
-            fail(true, "not an answer: " + message.decoderResult().cause());
-            return;
+    private void read(ByteBuf bytes) {
+        while (listener.isPresent()) {
+            Optional<AnswerPart> part = reader.read(bytes);
+            if (part.isEmpty()) {
+                return;
+            }
+            if (part.get() instanceof AnswerPart.Head start) {
+                startAnswer(start.head());
+            } else if (part.get() instanceof AnswerPart.Content content) {
+                append(content.bytes());
+            } else {
+                complete(bytes.isReadable());
+            }
         }
-        if (listener.isEmpty()) {
+        if (bytes.isReadable()) {
             fail(true, "bytes after the answer");
-            return;
-        }
-        if (message instanceof HttpResponse response) {
-            head = Optional.of(response);
-            discardBody();
-            HeldBody answer = memory.open(BodyKind.ANSWER, owner);
-            answer.expect(Math.max(0, HttpUtil.getContentLength(response, 0L)));
-            held = Optional.of(answer);
-        }
-        if (message instanceof HttpContent content) {
-            append(content.content());
-            if (message instanceof LastHttpContent) {
-                complete();
-            }
         }
     }
 
+    private void startAnswer(AnswerHead answerHead) {
+        head = Optional.of(answerHead);
+        discardBody();
+        HeldBody answer = memory.open(BodyKind.ANSWER, owner);
+        answer.expect(reader.statedLength());
+        held = Optional.of(answer);
+    }
+
     private void append(ByteBuf content) {
         if (!content.isReadable()) {
             return;
@@ -166,41 +176,43 @@
             fail(false, "no memory is free for the answer");
             return;
         }
-        body.addComponent(true, content.retain());
+        body.addComponent(true, content.retainedDuplicate());
     }
 
-    private void complete() {
-        if (head.isEmpty() || listener.isEmpty()) {
-            return;
-        }
-        HttpResponse response = head.get();
+    /**
+     * Handles the end of an answer.
+     *
+     * @param isFollowed whether further bytes were read with it
+     */
+    private void complete(boolean isFollowed) {
+        AnswerHead ended = head.orElseThrow();
         head = Optional.empty();
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        if (ended.isInterim()) {
             countSkipped();
             return;
         }
-        boolean isDelimitedByEnd =
-                !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
-        if (isDelimitedByEnd && isBroken) {
+        byte[] bytes = takeBody();
+        if (isFollowed && AnswerSyntax.containsStatusLine(new String(bytes, StandardCharsets.ISO_8859_1))) {
+            // The beginning of this answer, filled up to its length with another one, the rest of which follows.
+            fail(true, "not an answer: the head of another one within the body");
             return;
         }
-        byte[] bytes = takeBody();
-        HttpAnswer answer = new HttpAnswer(response.status().code(), response.headers(), bytes);
-        if (!listener.get().belongsToRequest(answer)) {
+        HttpAnswer answer = new HttpAnswer(ended.status(), ended.headers(), bytes);
+        if (!listener.orElseThrow().belongsToRequest(answer)) {
             isReusable = false;
             hasSkippedAnswer = true;
             countSkipped();
             return;
         }
-        isReusable = isReusable && isRequestWritten && HttpUtil.isKeepAlive(response) && channel.isActive();
-        idleLimitNanos = idleLimit(response);
-        AnswerListener ended = listener.get();
+        isReusable = isReusable && isRequestWritten && ended.isPersistent() && channel.isActive();
+        idleLimitNanos = idleLimit(ended.headers());
+        AnswerListener receiver = listener.orElseThrow();
         listener = Optional.empty();
         isReleasePending = isReusable;
         if (!isReusable) {
             channel.close();
         }
-        ended.answered(answer);
+        receiver.answered(answer);
     }
 
     /** Counts an answer that is not the expected one; a server may send such answers without end. */
@@ -245,6 +257,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (!isBroken && listener.isPresent() && reader.close().isPresent()) {
+            complete(false);
+        }
         String state = hasSkippedAnswer ? "closed after an answer to another request" : "closed by the server";
         fail(head.isPresent() && !hasPaused, hasPaused ? "closed before the answer was read" : state);
         discardBody();
@@ -274,8 +289,8 @@
         }
     }
 
-    private static long idleLimit(HttpResponse response) {
-        String keepAlive = response.headers().get("keep-alive");
+    private static long idleLimit(HttpHeaders headers) {
+        String keepAlive = headers.get("keep-alive");
         if (keepAlive == null) {
             return DEFAULT_IDLE_NANOS;
         }
--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnector.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnector.java
@@ -8,27 +8,30 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Collection;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** Opens client connections. */
 public final class HttpConnector {
-    private static final int MAX_INITIAL_LINE_BYTES = 4096;
-    private static final int MAX_HEAD_BYTES = 32 * 1024;
-    private static final int MAX_CHUNK_BYTES = 64 * 1024;
-
     private final Bootstrap bootstrap;
     private final BodyMemory memory;
+    private final Set<String> singleFields;
 
     /**
      * Creates a connector whose connections run on the group.
      *
      * @param memory bounds the bodies of answers
+     * @param singleFields the names of header fields on which decisions rest; an answer in which one of them stands
+     *     more than once is not accepted
      */
-    public HttpConnector(EventLoopGroup group, Duration connectTimeout, BodyMemory memory) {
+    public HttpConnector(
+            EventLoopGroup group, Duration connectTimeout, BodyMemory memory, Collection<String> singleFields) {
         this.memory = memory;
+        this.singleFields = Set.copyOf(singleFields);
         bootstrap = new Bootstrap()
                 .group(group)
                 .channelFactory(NioSocketChannel::new)
@@ -56,16 +59,13 @@
             Consumer<Throwable> onFailure,
             Consumer<HttpConnection> onReusable,
             Consumer<HttpConnection> onClosed) {
-        HttpConnection connection = new HttpConnection(memory, onReusable, onClosed);
+        HttpConnection connection = new HttpConnection(memory, singleFields, onReusable, onClosed);
         ChannelFuture connecting = bootstrap
                 .clone()
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline()
-                                .addLast(new HttpClientCodec(
-                                        MAX_INITIAL_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES, false))
-                                .addLast(connection);
+                        channel.pipeline().addLast(new HttpRequestEncoder()).addLast(connection);
                     }
                 })
                 .connect(address);
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RelayHeaders.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RelayHeaders.java
@@ -13,7 +13,7 @@
     /** What the receiver answers with; set in each answer, so that no header of a server is taken for it. */
     static final String RESULT = "Coppershelf-Relay-Result";
 
-    private static final List<String> ALL = List.of(SERVERS, CALLER, RESULT);
+    static final List<String> ALL = List.of(SERVERS, CALLER, RESULT);
     private static final int MAX_DIGITS = 4;
 
     /** What an answer to a relayed request holds. */
--- a/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/TrafficServer.java
@@ -104,7 +104,7 @@
         BodyMemory bodies = BodyMemory.withBackpressure(bodyLimit.bytes());
         this.bodyLimit = bodyLimit;
         memoryMetrics = new MemoryMetrics(bodies, registry, log);
-        HttpConnector connector = new HttpConnector(loop, CONNECT_TIMEOUT, bodies);
+        HttpConnector connector = new HttpConnector(loop, CONNECT_TIMEOUT, bodies, decisiveFields(names));
         if (bodyLimit.isStated()) {
             connector.limitSendBuffer(SEND_BUFFER_BYTES);
         }
@@ -151,6 +151,13 @@
                         isPrioritized, state, chooser, reachableChooser, new AdmissionMetrics(registry), log, random));
     }
 
+    /** Returns the names of the header fields from which the outcome of a request is concluded. */
+    private static List<String> decisiveFields(HeaderNames names) {
+        List<String> fields = new ArrayList<>(RelayHeaders.ALL);
+        fields.addAll(List.of(names.requestId(), names.signature(), names.notRun(), CallerSink.ERROR));
+        return fields;
+    }
+
     /**
      * Starts to listen and to serve callers.
      *
--- a/coppershelf/src/test/java/io/coppershelf/testing/FakeBackendServer.java
+++ b/coppershelf/src/test/java/io/coppershelf/testing/FakeBackendServer.java
@@ -63,6 +63,11 @@
         return listener.getLocalPort();
     }
 
+    /** Writes bytes that answer no request to a connection. */
+    public void write(int connection, byte[] bytes) throws IOException {
+        sockets.get(connection).getOutputStream().write(bytes);
+    }
+
     /** Returns all requests received, cancellations and probes included. */
     public List<Received> received() {
         return received;
