Take an answer without a length for complete only at the end of the stream

What callers saw: half of an answer as a complete 200, when a server reset the connection while the request was still being written.

Cause: such an answer was complete when the channel closed without a call of exceptionCaught. A reset that makes the write of the request fail closes the channel without one.

Change: connections report the end of the input (half closure), and only that completes an answer without a length; it is not reported after a failed write, which closes the channel, nor before the exception of a failed read.

Why it works: the completion rests on a positive sign, the end of the stream in order, instead of the absence of a reported error.

--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -52,7 +53,6 @@
     private Optional<AnswerHead> head = Optional.empty();
     private CompositeByteBuf body = Unpooled.compositeBuffer(MAX_BODY_COMPONENTS);
     private boolean isRequestWritten;
-    private boolean isBroken;
     private boolean isReusable = true;
     private boolean isReleasePending;
     private boolean hasSkippedAnswer;
@@ -249,17 +249,28 @@
         }
     }
 
+    /**
+     * Handles the end of what the server sends. It is the only proof that an answer without a length is complete: a
+     * connection may also end without an exception, if the write of a request fails.
+     */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            if (listener.isPresent() && reader.close().isPresent()) {
+                isReusable = false;
+                complete(false);
+            }
+            channel.close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        isBroken = true;
         fail(head.isPresent() && !hasPaused, cause.toString());
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        if (!isBroken && listener.isPresent() && reader.close().isPresent()) {
-            complete(false);
-        }
         String state = hasSkippedAnswer ? "closed after an answer to another request" : "closed by the server";
         fail(head.isPresent() && !hasPaused, hasPaused ? "closed before the answer was read" : state);
         discardBody();
--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnector.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnector.java
@@ -37,6 +37,8 @@
                 .channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Reports the end of the input apart from the end of the connection.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
     }
 
