Refuse answers with a status line that HTTP does not have

What callers saw: "HTTP/1.1 20" and "HTTP/1.1 2000" with a server's receipt.

Cause: any number was a status and any digits were a version.

Change: where answers are read, a status has three digits from 100 to 599 (RFC 9110, 15), and the version is HTTP/1 with any minor version. All else is no answer: 502, unknown, and the connection ends.

Why it works: one reader decides for servers, other VMs and the store.

--- a/coppershelf/src/main/java/io/coppershelf/http/AnswerReader.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/AnswerReader.java
@@ -41,7 +41,7 @@
     private final LineReader lines = new LineReader();
     private State state = State.STATUS_LINE;
     private boolean isBodyExpected = true;
-    private AnswerSyntax.StatusLine statusLine = new AnswerSyntax.StatusLine(1, 1, 0);
+    private AnswerSyntax.StatusLine statusLine = new AnswerSyntax.StatusLine(1, 0);
     private HttpHeaders headers = newHeaders();
     private int fields;
     private int fieldBytes;
--- a/coppershelf/src/main/java/io/coppershelf/http/AnswerSyntax.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/AnswerSyntax.java
@@ -5,7 +5,8 @@
 
 /** The lines of an answer by RFC 9112; what a faulty server may have joined of two answers is not accepted. */
 final class AnswerSyntax {
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/([0-9])\\.([0-9]) ([0-9]{1,9})(?: (.*))?");
+    /** Three digits from 100 to 599 (RFC 9110, 15), and any minor version of HTTP/1. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.([0-9]) ([1-5][0-9]{2})(?: (.*))?");
 
     /** Not what a Via field may hold, where the name of a host follows the version. */
     private static final Pattern EMBEDDED_STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] [0-9]+(?: |$)");
@@ -16,7 +17,7 @@
     private AnswerSyntax() {}
 
     /** A status line without its reason phrase. */
-    record StatusLine(int majorVersion, int minorVersion, int status) {}
+    record StatusLine(int minorVersion, int status) {}
 
     /** A header or trailer field. */
     record Field(String name, String value) {}
@@ -31,14 +32,11 @@
         if (!matcher.matches()) {
             throw new InvalidAnswerException("no status line");
         }
-        String reason = matcher.group(4);
+        String reason = matcher.group(3);
         if (reason != null) {
             requireText(reason);
         }
-        return new StatusLine(
-                Integer.parseInt(matcher.group(1)),
-                Integer.parseInt(matcher.group(2)),
-                Integer.parseInt(matcher.group(3)));
+        return new StatusLine(Integer.parseInt(matcher.group(1)), Integer.parseInt(matcher.group(2)));
     }
 
     /**
