--- a/coppershelf/src/test/java/io/coppershelf/backend/internal/HttpBackendClientTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/backend/internal/HttpBackendClientTest.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.Executors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -145,6 +146,37 @@
         }
     }
 
+    /** Guards against the status, or the proof of "not run", of an earlier answer that a server broke off. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 503 No\r\nX-Note: text\r\nCoppershelf-Execution: not-started\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX-Note: text\r\nCoppershelf-Try-Id: t0\r\nContent-Length: 0\r\n\r\n"
+            })
+    void headThatIsPutTogetherFromTwoAnswersIsNotReturned(String broken) throws Exception {
+        String whole = "HTTP/1.1 500 Failed\r\nContent-Length: 5\r\nCoppershelf-Try-Id: t1\r\n\r\nwhole";
+        int[] cut = {0};
+        start(request -> FakeBackendServer.thenClose(broken.substring(0, cut[0]) + whole));
+        assertThat(send("t1").result().get().answer()).isPresent();
+        for (cut[0] = 1; cut[0] < broken.length(); cut[0]++) {
+            assertWithMessage("answer after %s bytes of another", cut[0])
+                    .that(send("t1").result().get().answer())
+                    .isEmpty();
+        }
+    }
+
+    /** Guards against an answer that HTTP does not have and that is returned as one of the server. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 050 OK", "HTTP/1.1 600 OK", "HTTP/9.9 200 OK"})
+    void answerWithAStatusLineThatHttpDoesNotHaveIsNotReturned(String statusLine) throws Exception {
+        start(request -> FakeBackendServer.thenClose(
+                statusLine + "\r\nContent-Length: 5\r\nCoppershelf-Try-Id: t1\r\n\r\nwhole"));
+        assertThat(send("t1").result().get().answer()).isEmpty();
+    }
+
     @Test
     void sendsAttemptWithItsIdAndRemainingTime() throws Exception {
         start(request -> request.answer(201, "whole", "Coppershelf-Server-State: Draining", "X-Kept: 1"));
