End requests at their deadline unless the end of their answer is known

What callers would see: nothing.

Cause: a request whose answer waits for memory was kept for 30 s beyond its deadline, whatever the answer. An answer without a length may have no end, and paused answers kept each other waiting.

Change: beyond the deadline an answer is awaited only if its length is known and its rate so far, the pauses left out, brings the rest within those 30 s. A stated length above the largest answer is refused when the head arrives.

Why it works: what holds the memory ends with the requests that caused it.

--- a/coppershelf/src/main/java/io/coppershelf/http/HeldBody.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HeldBody.java
@@ -1,13 +1,20 @@
 package io.coppershelf.http;
 
+import java.util.concurrent.TimeUnit;
+
 /** A body in transit and the memory that it takes. Confined to the thread of its memory. */
 public final class HeldBody {
+    /** Time without any byte, while a body is read, after which no more are expected. */
+    private static final long STALLED_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     private final BodyMemory memory;
     private final BodyKind kind;
     private final BodyOwner owner;
     private final long number;
     private final long startNanos;
     private long lastMoveNanos;
+    private long pausedSinceNanos;
+    private long pausedNanos;
     private long heldBytes;
     private long reservedBytes;
     private long movedBytes;
@@ -95,6 +102,24 @@
         return hasPaused;
     }
 
+    /**
+     * Returns whether the rest of the body can be expected within a time: its length is known, and its rate so far, the
+     * pauses left out, is high enough. A body of unknown length may have no end.
+     */
+    public boolean isEndExpectedWithin(long nanos) {
+        if (!isLengthKnown()) {
+            return false;
+        }
+        long now = memory.nowNanos();
+        if (!isPaused && now - lastMoveNanos > STALLED_NANOS) {
+            return false;
+        }
+        long readingNanos = (isPaused ? pausedSinceNanos : now) - startNanos - pausedNanos;
+        double remainingNanos =
+                (double) Math.max(0, expectedBytes - movedBytes) / Math.max(1, movedBytes) * readingNanos;
+        return remainingNanos <= nanos;
+    }
+
     BodyKind kind() {
         return kind;
     }
@@ -140,6 +165,13 @@
         }
         isPaused = pause;
         hasPaused |= pause;
+        long now = memory.nowNanos();
+        if (pause) {
+            pausedSinceNanos = now;
+        } else {
+            pausedNanos += now - pausedSinceNanos;
+            lastMoveNanos = now;
+        }
         owner.setReading(!pause);
         return true;
     }
--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
@@ -110,6 +110,11 @@
         return hasPaused;
     }
 
+    /** Returns whether the answer of the exchange in flight has an end that can be expected within a time. */
+    public boolean isEndExpectedWithin(long nanos) {
+        return held.map(answer -> answer.isEndExpectedWithin(nanos)).orElse(false);
+    }
+
     /** Closes the connection; the listener of an exchange in flight is no longer called. */
     public void close() {
         listener = Optional.empty();
@@ -155,6 +160,10 @@
     }
 
     private void startAnswer(AnswerHead answerHead) {
+        if (reader.statedLength() > MAX_ANSWER_BYTES) {
+            fail(true, "the answer states more than " + MAX_ANSWER_BYTES + " bytes");
+            return;
+        }
         head = Optional.of(answerHead);
         discardBody();
         HeldBody answer = memory.open(BodyKind.ANSWER, owner);
--- a/coppershelf/src/main/java/io/coppershelf/proxy/Attempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/Attempt.java
@@ -39,6 +39,9 @@
      */
     boolean hasReadingPaused();
 
+    /** Returns whether a complete answer can be expected within a time, since the rest of it is known. */
+    boolean isAnswerExpectedWithin(long nanos);
+
     /** Returns the time since the start of the attempt, in nanoseconds. */
     long ageNanos();
 
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RelayAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RelayAttempt.java
@@ -83,6 +83,11 @@
         return connection.map(HttpConnection::hasReadingPaused).orElse(false);
     }
 
+    @Override
+    public boolean isAnswerExpectedWithin(long nanos) {
+        return connection.map(open -> open.isEndExpectedWithin(nanos)).orElse(false);
+    }
+
     @Override
     public long ageNanos() {
         return System.nanoTime() - startedNanos;
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -26,8 +26,8 @@
     /** Interval at which an attempt whose answer waits for memory is checked. */
     private static final long MEMORY_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     /**
-     * Longest time after the deadline for which an answer that waits for memory is awaited: the server has run the
-     * request, and a late answer is worth more to the caller than none.
+     * Longest time after the deadline for which an answer that waits for memory is awaited, if its end is known: the
+     * server has run the request, and a late answer is worth more to the caller than none.
      */
     private static final long MAX_LATE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
@@ -279,10 +279,15 @@
         execute(isWaitingForMemory() ? List.of() : plan.timerExpired(System.nanoTime()));
     }
 
-    /** Returns whether an answer is late for lack of memory only, so that neither a hedge nor the deadline is due. */
+    /**
+     * Returns whether an answer is late for lack of memory only, so that neither a hedge nor the deadline is due.
+     * Beyond the deadline that holds only for an answer that can be expected.
+     */
     private boolean isWaitingForMemory() {
-        return System.nanoTime() - deadlineNanos < MAX_LATE_NANOS
-                && attempts.stream().anyMatch(attempt -> !attempt.isEnded() && attempt.hasReadingPaused());
+        long lateNanos = System.nanoTime() - deadlineNanos;
+        return attempts.stream()
+                .filter(attempt -> !attempt.isEnded() && attempt.hasReadingPaused())
+                .anyMatch(attempt -> lateNanos < 0 || attempt.isAnswerExpectedWithin(MAX_LATE_NANOS - lateNanos));
     }
 
     private void send(PlanStep.Send send) {
--- a/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/ServerAttempt.java
@@ -217,6 +217,11 @@
         return connection.map(HttpConnection::hasReadingPaused).orElse(false);
     }
 
+    @Override
+    public boolean isAnswerExpectedWithin(long nanos) {
+        return connection.map(open -> open.isEndExpectedWithin(nanos)).orElse(false);
+    }
+
     @Override
     public long ageNanos() {
         return System.nanoTime() - startedNanos;
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -123,15 +123,44 @@
         serve(routes, MAX_TENANT_HEAD_BYTES, Optional.of(table), ports);
     }
 
+    /** Routes requests below /other/ to the server of a second service, and all others to the servers on the ports. */
+    void serveBeside(FakeBackendServer other, int... ports) {
+        Route otherRoute = new Route(
+                "/other/",
+                "host",
+                "/other/",
+                RequestKind.LARGE_ANSWER,
+                Duration.ofMillis(2500),
+                Duration.ofSeconds(1),
+                1,
+                2,
+                List.of(new WeightedService("other", 1)));
+        RouteTable routes = RouteTable.of(List.of(route("/once/", RequestKind.ONCE), otherRoute));
+        serve(routes, MAX_HEAD_BYTES, tenants, Optional.of(server("i-other", "other", other.port())), ports);
+    }
+
     private void serve(RouteTable routes, int headBytes, Optional<TenantTable> table, int... ports) {
+        serve(routes, headBytes, table, Optional.empty(), ports);
+    }
+
+    private static BackendServer server(String id, String service, int port) {
+        return new BackendServer(id, 1, service, new InetSocketAddress("127.0.0.1", port), "here", 6, true, 0);
+    }
+
+    private void serve(
+            RouteTable routes,
+            int headBytes,
+            Optional<TenantTable> table,
+            Optional<BackendServer> other,
+            int... ports) {
         List<BackendServer> list = new ArrayList<>();
         for (int port : ports) {
-            list.add(new BackendServer(
-                    "i-" + list.size(), 1, "ledger", new InetSocketAddress("127.0.0.1", port), "here", 6, true, 0));
+            list.add(server("i-" + list.size(), "ledger", port));
         }
+        other.ifPresent(list::add);
         CallerLimits limits = new CallerLimits(headBytes, maxBodyBytes, Duration.ofMillis(500), Duration.ofMillis(700));
-        FleetConfiguration configuration =
-                new FleetConfiguration(1, routes, Map.of("ledger", MAX_CONNECTIONS), limits, table);
+        FleetConfiguration configuration = new FleetConfiguration(
+                1, routes, Map.of("ledger", MAX_CONNECTIONS, "other", MAX_CONNECTIONS), limits, table);
         state.use(new Catalog(Optional.of(configuration), ServerList.of(Catalogs.revision(1), list)));
     }
 
