Bound the memory and the time that an answer in tiny pieces takes

What callers would see: late or missing answers of all services, when a service sends its answers in chunks of one byte without end.

Cause: each piece kept a view of its own, counted as 128 bytes, so one read of 64 KB added up to 1.4 MB; the memory was exceeded. Each piece also led to a decision over all bodies, and one connection could be read sixteen times before any other, or a timer, had its turn.

Change: bodies are copied into segments, memory is counted once a read, and a connection is read once a turn.

Why it works: the work for a read no longer depends on how many bodies there are for each of its pieces, and a turn reads 64 KB at most.

--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
@@ -1,8 +1,6 @@
 package io.coppershelf.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -37,11 +35,6 @@
 
     /** Largest number of interim answers and answers to other requests that are skipped while one is expected. */
     private static final int MAX_SKIPPED_ANSWERS = 8;
-    /** Counted for each piece of a body in addition to its bytes, as many small pieces take more memory than bytes. */
-    private static final int PIECE_OVERHEAD_BYTES = 128;
-
-    /** Pieces of a body that are kept apart; more are merged. */
-    private static final int MAX_BODY_COMPONENTS = 1024;
 
     private final BodyMemory memory;
     private final AnswerReader reader;
@@ -51,7 +44,8 @@
     private Channel channel;
     private Optional<AnswerListener> listener = Optional.empty();
     private Optional<AnswerHead> head = Optional.empty();
-    private CompositeByteBuf body = Unpooled.compositeBuffer(MAX_BODY_COMPONENTS);
+    private AnswerBody body = new AnswerBody(0);
+    private int countedBytes;
     private boolean isRequestWritten;
     private boolean isReusable = true;
     private boolean isReleasePending;
@@ -144,6 +138,7 @@
         while (listener.isPresent()) {
             Optional<AnswerPart> part = reader.read(bytes);
             if (part.isEmpty()) {
+                countMemory();
                 return;
             }
             if (part.get() instanceof AnswerPart.Head start) {
@@ -166,26 +161,29 @@
         }
         head = Optional.of(answerHead);
         discardBody();
+        body = new AnswerBody(reader.statedLength());
+        countedBytes = 0;
         HeldBody answer = memory.open(BodyKind.ANSWER, owner);
         answer.expect(reader.statedLength());
         held = Optional.of(answer);
     }
 
     private void append(ByteBuf content) {
-        if (!content.isReadable()) {
-            return;
-        }
-        if (body.readableBytes() + content.readableBytes() > MAX_ANSWER_BYTES) {
+        if (body.size() + content.readableBytes() > MAX_ANSWER_BYTES) {
             fail(true, "the answer is larger than " + MAX_ANSWER_BYTES + " bytes");
             return;
         }
-        int bytes = content.readableBytes() + PIECE_OVERHEAD_BYTES;
-        if (!held.map(answer -> answer.received(bytes)).orElse(true)) {
+        body.append(content);
+    }
+
+    /** Counts what a read has added to an incomplete answer, once for all of its pieces, which may be many. */
+    private void countMemory() {
+        int bytes = body.size() - countedBytes;
+        countedBytes = body.size();
+        if (bytes > 0 && !held.map(answer -> answer.received(bytes)).orElse(true)) {
             hasPaused = true;
             fail(false, "no memory is free for the answer");
-            return;
         }
-        body.addComponent(true, content.retainedDuplicate());
     }
 
     /**
@@ -233,8 +231,7 @@
     }
 
     private byte[] takeBody() {
-        byte[] bytes = new byte[body.readableBytes()];
-        body.readBytes(bytes);
+        byte[] bytes = body.toBytes();
         discardBody();
         return bytes;
     }
@@ -242,8 +239,8 @@
     private void discardBody() {
         held.ifPresent(HeldBody::release);
         held = Optional.empty();
-        body.release();
-        body = Unpooled.compositeBuffer(MAX_BODY_COMPONENTS);
+        body = new AnswerBody(0);
+        countedBytes = 0;
     }
 
     /**
--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnector.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnector.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -37,6 +38,8 @@
                 .channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Servers that send without end share the thread with all other connections.
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(1))
                 // Reports the end of the input apart from the end of the connection.
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
--- a/coppershelf/src/test/java/io/coppershelf/proxy/EndlessServiceTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/EndlessServiceTest.java
@@ -37,6 +37,7 @@
     private enum Shape {
         NO_LENGTH("Connection: close\r\n\r\n", "z".repeat(4096)),
         CHUNKS_OF_64_KILOBYTES("Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + "z".repeat(65536) + "\r\n"),
+        CHUNKS_OF_ONE_BYTE("Transfer-Encoding: chunked\r\n\r\n", "1\r\nz\r\n".repeat(500)),
         LENGTH_OF_A_TERABYTE("Content-Length: 1099511627776\r\n\r\n", "z".repeat(4096)),
         LARGEST_LENGTH("Content-Length: 16777216\r\n\r\n", ""),
         HEAD("", "X-Filler: yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n");
@@ -55,6 +56,7 @@
         "NO_LENGTH, 40",
         "NO_LENGTH, 100",
         "CHUNKS_OF_64_KILOBYTES, 100",
+        "CHUNKS_OF_ONE_BYTE, 40",
         "LENGTH_OF_A_TERABYTE, 100",
         "LARGEST_LENGTH, 100",
         "HEAD, 100"
