Share the memory for answers among the services

Cause: memory was given by age and size of the bodies alone, whatever service they came from.

Change: dynamic thresholds (Choudhury and Hahne, 1998). The answers of one service take at most three times the free memory, so that some of it always remains for others. The oldest answer of each service is exempt, unless it may have no end and has used up the reserve for such answers.

Evidence: BodyMemoryTest, an answer of 400 KB beside 100 endless ones of another service: with the shares switched off it is paused before its first byte (2 of 2 cases), with them it is read at once. A service alone still uses at least 0.4 of the memory, for answers of 60 KB and 400 KB. EndlessServiceTest, EndlessAnswerTest and MemoryPressureTest pass.

Why it works: who has used the memory up waits, not who comes next.

--- a/coppershelf/src/main/java/io/coppershelf/http/BodyMemory.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/BodyMemory.java
@@ -1,6 +1,7 @@
 package io.coppershelf.http;
 
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +36,9 @@
     private final Map<Long, HeldBody> bodies = new LinkedHashMap<>();
 
     private final Map<BodyKind, Long> usedBytesByKind = new EnumMap<>(BodyKind.class);
+    /** The memory that the answers of each service take that are being read. */
+    private final Map<String, Long> usedBytesByService = new HashMap<>();
+
     private final MemoryCounts counts = new MemoryCounts();
     private OptionalLong forced = OptionalLong.empty();
     private long nextNumber;
@@ -68,8 +72,21 @@
 
     /** Starts to count a body that takes no memory yet. */
     public HeldBody open(BodyKind kind, BodyOwner owner) {
+        return open(kind, owner, "");
+    }
+
+    /**
+     * Starts to count an answer that takes no memory yet.
+     *
+     * @param service the service that it comes from, empty if it is limited by no share of its service
+     */
+    public HeldBody openAnswer(BodyOwner owner, String service) {
+        return open(BodyKind.ANSWER, owner, service);
+    }
+
+    private HeldBody open(BodyKind kind, BodyOwner owner, String service) {
         nextNumber++;
-        return new HeldBody(this, kind, owner, nextNumber, clock.getAsLong());
+        return new HeldBody(this, kind, owner, service, nextNumber, clock.getAsLong());
     }
 
     /** Returns the memory that all bodies take, in bytes. */
@@ -214,6 +231,9 @@
         usedBytes += bytes;
         counts.recordUsed(usedBytes);
         usedBytesByKind.merge(body.kind(), bytes, Long::sum);
+        if (!body.service().isEmpty() && usedBytesByService.merge(body.service(), bytes, Long::sum) == 0) {
+            usedBytesByService.remove(body.service());
+        }
     }
 
     private long remainingBytes() {
@@ -227,9 +247,13 @@
         return remaining;
     }
 
+    private boolean isShared() {
+        return usedBytesByService.values().stream().allMatch(bytes -> policy.isWithinShare(bytes, usedBytes));
+    }
+
     /** Pauses and continues the reading of bodies. */
     private void update() {
-        if (!hasBackpressure || (paused == 0 && policy.hasRoomForAll(usedBytes, remainingBytes()))) {
+        if (!hasBackpressure || (paused == 0 && policy.hasRoomForAll(usedBytes, remainingBytes()) && isShared())) {
             return;
         }
         undecidedBytes = 0;
--- a/coppershelf/src/main/java/io/coppershelf/http/BodyState.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/BodyState.java
@@ -12,6 +12,8 @@
  * @param movedBytes the bytes received or written so far
  * @param ageNanos the time since its first byte
  * @param idleNanos the time since the last byte was received or written
+ * @param service the service that an answer comes from, empty if that is not known
+ * @param isLengthKnown whether the body is known to have an end
  */
 record BodyState(
         long number,
@@ -23,4 +25,6 @@
         long remainingBytes,
         long movedBytes,
         long ageNanos,
-        long idleNanos) {}
+        long idleNanos,
+        String service,
+        boolean isLengthKnown) {}
--- a/coppershelf/src/main/java/io/coppershelf/http/HeldBody.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HeldBody.java
@@ -10,6 +10,7 @@
     private final BodyMemory memory;
     private final BodyKind kind;
     private final BodyOwner owner;
+    private final String service;
     private final long number;
     private final long startNanos;
     private long lastMoveNanos;
@@ -23,10 +24,11 @@
     private boolean isPaused;
     private boolean hasPaused;
 
-    HeldBody(BodyMemory memory, BodyKind kind, BodyOwner owner, long number, long nowNanos) {
+    HeldBody(BodyMemory memory, BodyKind kind, BodyOwner owner, String service, long number, long nowNanos) {
         this.memory = memory;
         this.kind = kind;
         this.owner = owner;
+        this.service = service;
         this.number = number;
         startNanos = nowNanos;
         lastMoveNanos = nowNanos;
@@ -128,6 +130,10 @@
         return owner;
     }
 
+    String service() {
+        return service;
+    }
+
     long number() {
         return number;
     }
@@ -193,6 +199,8 @@
                 remainingBytes(),
                 movedBytes,
                 nowNanos - startNanos,
-                nowNanos - lastMoveNanos);
+                nowNanos - lastMoveNanos,
+                service,
+                isLengthKnown());
     }
 }
--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
@@ -46,6 +46,7 @@
     private Optional<AnswerHead> head = Optional.empty();
     private AnswerBody body = new AnswerBody(0);
     private int countedBytes;
+    private String service = "";
     private boolean isRequestWritten;
     private boolean isReusable = true;
     private boolean isReleasePending;
@@ -75,8 +76,13 @@
         return channel.isActive() && isReusable && listener.isEmpty() && idle <= Math.min(maxIdleNanos, idleLimitNanos);
     }
 
-    /** Sends a request; the listener receives the end of the exchange. The connection must be usable. */
-    public void exchange(FullHttpRequest request, AnswerListener answerListener) {
+    /**
+     * Sends a request; the listener receives the end of the exchange. The connection must be usable.
+     *
+     * @param requestedService the service that answers, whose share of the memory the answer takes; empty for none
+     */
+    public void exchange(FullHttpRequest request, String requestedService, AnswerListener answerListener) {
+        service = requestedService;
         listener = Optional.of(answerListener);
         isRequestWritten = false;
         hasSkippedAnswer = false;
@@ -163,7 +169,7 @@
         discardBody();
         body = new AnswerBody(reader.statedLength());
         countedBytes = 0;
-        HeldBody answer = memory.open(BodyKind.ANSWER, owner);
+        HeldBody answer = memory.openAnswer(owner, service);
         answer.expect(reader.statedLength());
         held = Optional.of(answer);
     }
--- a/coppershelf/src/main/java/io/coppershelf/http/MemoryPolicy.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/MemoryPolicy.java
@@ -57,11 +57,16 @@
         return usedBytes + remainingBytes <= sharedBytes();
     }
 
+    /** Returns whether the answers of one service leave enough memory to those of others. */
+    boolean isWithinShare(long serviceBytes, long usedBytes) {
+        return ServiceShares.isWithinShare(serviceBytes, sharedBytes() - usedBytes);
+    }
+
     /**
      * Returns the numbers of the bodies that may be read now: large ones as long as one read of each fits into the
      * share of the large bodies, the oldest first, then small ones into the whole memory. The memory for the rest of
-     * the oldest answer is left to it, so that answers can't all wait for each other. Bodies whose memory is reserved
-     * are always read.
+     * the oldest answer is left to it, so that answers can't all wait for each other. Answers beyond the share of their
+     * service wait. Bodies whose memory is reserved are always read.
      *
      * @param readers the bodies that are being read, the oldest first
      * @param forced the body that is read whatever the memory, since nothing else can make progress
@@ -70,6 +75,8 @@
         Set<Long> readable = new HashSet<>();
         long plannedBytes = usedBytes;
         boolean isOldestAnswer = true;
+        ServiceShares shares = new ServiceShares(sharedBytes(), COMPLETION_SHARE * limitBytes);
+        readers.forEach(shares::add);
         for (BodyState reader : readers) {
             if (!reader.isLarge()) {
                 continue;
@@ -78,7 +85,9 @@
             isOldestAnswer = isOldestAnswer && !isPreferred;
             double bound = isPreferred ? LARGE_SHARE * limitBytes : sharedBytes();
             boolean isForced = forced.isPresent() && forced.getAsLong() == reader.number();
-            if (isForced || reader.nextBytes() == 0 || plannedBytes + reader.nextBytes() <= bound) {
+            boolean fits =
+                    plannedBytes + reader.nextBytes() <= bound && shares.take(reader, sharedBytes() - plannedBytes);
+            if (isForced || reader.nextBytes() == 0 || fits) {
                 readable.add(reader.number());
             }
             if (isPreferred) {
@@ -89,8 +98,12 @@
         }
         plannedBytes -= reservedForOldest(readers);
         for (BodyState reader : readers) {
-            boolean fits = reader.nextBytes() == 0 || plannedBytes + reader.nextBytes() <= limitBytes;
-            if (!reader.isLarge() && fits) {
+            if (reader.isLarge()) {
+                continue;
+            }
+            boolean fits = plannedBytes + reader.nextBytes() <= limitBytes
+                    && shares.take(reader, (double) limitBytes - plannedBytes);
+            if (reader.nextBytes() == 0 || fits) {
                 readable.add(reader.number());
                 plannedBytes += reader.nextBytes();
             }
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestWriter.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestWriter.java
@@ -178,6 +178,6 @@
                 Unpooled.wrappedBuffer(request.body()),
                 headers,
                 new DefaultHttpHeaders());
-        connection.exchange(outgoing, listener);
+        connection.exchange(outgoing, service, listener);
     }
 }
--- a/coppershelf/src/test/java/io/coppershelf/http/BodyMemoryTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/http/BodyMemoryTest.java
@@ -1,15 +1,20 @@
 package io.coppershelf.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class BodyMemoryTest {
     private static final int LIMIT_BYTES = 1_000_000;
     private static final int PIECE_BYTES = 64 * 1024;
+    /** The memory of a VM with a heap of 128 MB. */
+    private static final int SERVED_BYTES = 40 * 1024 * 1024;
 
     private long nowNanos;
     private final BodyMemory failing = new BodyMemory(LIMIT_BYTES);
@@ -111,6 +116,45 @@
         }
     }
 
+    /** Guards against a service whose answers have no end and for which the answers of all other services wait. */
+    @ParameterizedTest
+    @ValueSource(ints = {1000, PIECE_BYTES})
+    void answersOfAServiceAreReadWhileThoseOfAnotherUseUpTheirShare(int pieceBytes) {
+        BodyMemory memory = BodyMemory.withBackpressure(SERVED_BYTES, () -> nowNanos);
+        List<Peer> endless = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            endless.add(new Peer(memory, "faulty", 0));
+        }
+        for (int received = 0; received < 2_000_000; received += pieceBytes) {
+            endless.stream()
+                    .filter(peer -> peer.isReading && !peer.isClosed)
+                    .forEach(peer -> peer.receiveWithoutEnd(pieceBytes));
+        }
+        Peer sound = new Peer(memory, "sound", 400_000);
+        while (sound.received < sound.length) {
+            assertWithMessage("reading of the sound answer after %s bytes", sound.received)
+                    .that(sound.isReading)
+                    .isTrue();
+            sound.receive();
+        }
+        assertThat(memory.usedBytes()).isAtMost(SERVED_BYTES);
+    }
+
+    /** Guards against memory that lies idle because only one service has answers. */
+    @ParameterizedTest
+    @ValueSource(ints = {60_000, 400_000})
+    void serviceUsesMostOfTheMemoryIfNoOtherNeedsIt(int answerBytes) {
+        BodyMemory memory = BodyMemory.withBackpressure(SERVED_BYTES, () -> nowNanos);
+        List<Peer> answers = new ArrayList<>();
+        for (int i = 0; i < 800; i++) {
+            answers.add(new Peer(memory, "only", answerBytes));
+        }
+        for (int received = 0; received < answerBytes - 10_000; received += 10_000) {
+            answers.stream().filter(answer -> answer.isReading).forEach(answer -> answer.body.received(10_000));
+        }
+        assertThat(memory.usedBytes()).isAtLeast(SERVED_BYTES * 4 / 10);
+    }
+
     private void passSeconds(double seconds) {
         long end = nowNanos + (long) (seconds * TimeUnit.SECONDS.toNanos(1));
         for (; nowNanos < end; nowNanos += TimeUnit.MILLISECONDS.toNanos(50)) {
@@ -136,6 +180,20 @@
             body.expect(length);
         }
 
+        /** Creates an answer of a service. */
+        Peer(BodyMemory memory, String service, long length) {
+            this.length = length;
+            body = memory.openAnswer(this, service);
+            body.expect(length);
+        }
+
+        /** Receives bytes of an answer without an end, which may be given up. */
+        void receiveWithoutEnd(int bytes) {
+            if (!body.received(bytes)) {
+                closeForMemory();
+            }
+        }
+
         void receive() {
             long bytes = Math.min(PIECE_BYTES, length - received);
             received += bytes;
--- a/coppershelf/src/test/java/io/coppershelf/http/MemoryPolicyTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/http/MemoryPolicyTest.java
@@ -43,7 +43,8 @@
     /** Guards against a memory full of parts of answers, none of which has room for its rest. */
     @Test
     void memoryForTheRestOfTheOldestAnswerIsLeftToIt() {
-        BodyState oldest = new BodyState(1, BodyKind.ANSWER, true, true, 70_000, READ, 4 * READ, 70_000, 0, 0);
+        BodyState oldest =
+                new BodyState(1, BodyKind.ANSWER, true, true, 70_000, READ, 4 * READ, 70_000, 0, 0, "", false);
         long used = LIMIT_BYTES * 11 / 16 - 4 * READ;
         assertThat(policy.readable(List.of(oldest, answer(2)), used, OptionalLong.empty()))
                 .containsExactly(1L);
@@ -54,7 +55,7 @@
     @Test
     void oldestAnswerAloneUsesTheReserve() {
         long used = LIMIT_BYTES * 11 / 16;
-        BodyState upload = new BodyState(1, BodyKind.REQUEST, true, true, 0, READ, READ, 0, 0, 0);
+        BodyState upload = new BodyState(1, BodyKind.REQUEST, true, true, 0, READ, READ, 0, 0, 0, "", false);
         assertThat(policy.readable(List.of(upload, answer(2), answer(3)), used, OptionalLong.empty()))
                 .containsExactly(2L);
     }
@@ -71,7 +72,7 @@
 
     @Test
     void smallBodiesAreReadWhileLargeOnesWait() {
-        BodyState small = new BodyState(9, BodyKind.ANSWER, true, false, 0, 1000, 1000, 0, 0, 0);
+        BodyState small = new BodyState(9, BodyKind.ANSWER, true, false, 0, 1000, 1000, 0, 0, 0, "", false);
         assertThat(policy.readable(List.of(answer(1), small), LIMIT_BYTES * 3 / 4, OptionalLong.empty()))
                 .containsExactly(9L);
     }
@@ -94,28 +95,41 @@
 
     @Test
     void readerIsNotClosedInItsFirstSecondNorForASmallAnswer() {
-        BodyState young = new BodyState(1, BodyKind.DELIVERY, false, true, 900_000, 0, 0, 0, SECOND_NANOS / 2, 0);
-        BodyState small =
-                new BodyState(2, BodyKind.DELIVERY, false, false, 60_000, 0, 0, 0, 9 * SECOND_NANOS, 9 * SECOND_NANOS);
+        BodyState young =
+                new BodyState(1, BodyKind.DELIVERY, false, true, 900_000, 0, 0, 0, SECOND_NANOS / 2, 0, "", false);
+        BodyState small = new BodyState(
+                2, BodyKind.DELIVERY, false, false, 60_000, 0, 0, 0, 9 * SECOND_NANOS, 9 * SECOND_NANOS, "", false);
         assertThat(policy.toClose(List.of(young, small))).isEmpty();
     }
 
     /** Guards against callers that announce large bodies and do not send them. */
     @Test
     void uploadThatDoesNotArriveIsClosedIfNoReaderIsSlow() {
-        BodyState active = new BodyState(1, BodyKind.REQUEST, true, true, 900_000, 0, 0, 0, 9 * SECOND_NANOS, 0);
-        BodyState silent =
-                new BodyState(2, BodyKind.REQUEST, true, true, 300_000, 0, 0, 0, 9 * SECOND_NANOS, SECOND_NANOS);
+        BodyState active =
+                new BodyState(1, BodyKind.REQUEST, true, true, 900_000, 0, 0, 0, 9 * SECOND_NANOS, 0, "", false);
+        BodyState silent = new BodyState(
+                2, BodyKind.REQUEST, true, true, 300_000, 0, 0, 0, 9 * SECOND_NANOS, SECOND_NANOS, "", false);
         assertThat(policy.toClose(List.of(active, silent))).hasValue(silent);
         assertThat(policy.toClose(List.of(silent, delivery(3, 100_000, 0)))).hasValue(delivery(3, 100_000, 0));
     }
 
     private static BodyState answer(long number) {
-        return new BodyState(number, BodyKind.ANSWER, true, true, 70_000, READ, READ, 70_000, 0, 0);
+        return new BodyState(number, BodyKind.ANSWER, true, true, 70_000, READ, READ, 70_000, 0, 0, "", false);
     }
 
     private static BodyState delivery(long number, long heldBytes, long writtenBytes) {
         return new BodyState(
-                number, BodyKind.DELIVERY, false, true, heldBytes, 0, 0, writtenBytes, 5 * SECOND_NANOS, SECOND_NANOS);
+                number,
+                BodyKind.DELIVERY,
+                false,
+                true,
+                heldBytes,
+                0,
+                0,
+                writtenBytes,
+                5 * SECOND_NANOS,
+                SECOND_NANOS,
+                "",
+                false);
     }
 }
