Await late answers that were paused at their head

Found by reading the change of late answers again: the rate of an answer that is paused before or right after its first bytes is not known, but was taken for too low, so that its request would have ended at the deadline although the answer was complete at its server. The rate is judged only after a second of reading, the pauses left out.

BodyMemoryTest, two tests of what is expected: of an answer that waits, that arrives fast enough, too slowly, without a length, and not at all.

--- a/coppershelf/src/main/java/io/coppershelf/http/HeldBody.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HeldBody.java
@@ -6,6 +6,8 @@
 public final class HeldBody {
     /** Time without any byte, while a body is read, after which no more are expected. */
     private static final long STALLED_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Time of reading after which the rate of a body is known. */
+    private static final long RATE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final BodyMemory memory;
     private final BodyKind kind;
@@ -117,8 +119,11 @@
             return false;
         }
         long readingNanos = (isPaused ? pausedSinceNanos : now) - startNanos - pausedNanos;
-        double remainingNanos =
-                (double) Math.max(0, expectedBytes - movedBytes) / Math.max(1, movedBytes) * readingNanos;
+        if (readingNanos < RATE_NANOS) {
+            return true;
+        }
+        long remainingBytes = Math.max(0, expectedBytes - movedBytes);
+        double remainingNanos = (double) remainingBytes / Math.max(1, movedBytes) * readingNanos;
         return remainingNanos <= nanos;
     }
 
--- a/coppershelf/src/test/java/io/coppershelf/http/BodyMemoryTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/http/BodyMemoryTest.java
@@ -155,6 +155,35 @@
         assertThat(memory.usedBytes()).isAtLeast(SERVED_BYTES * 4 / 10);
     }
 
+    /** Guards against a complete answer that is given up at the deadline since it had to wait for memory. */
+    @Test
+    void endIsExpectedOfAnAnswerThatWaitsOrArrivesAtASufficientRate() {
+        HeldBody answer = pausing.openAnswer(BodyOwner.NONE, "service");
+        answer.expect(500_000);
+        assertThat(answer.isEndExpectedWithin(TimeUnit.SECONDS.toNanos(10))).isTrue();
+        answer.setPaused(true);
+        passSeconds(20);
+        assertThat(answer.isEndExpectedWithin(TimeUnit.SECONDS.toNanos(10))).isTrue();
+        answer.setPaused(false);
+        passSeconds(1.5);
+        answer.received(100_000);
+        assertThat(answer.isEndExpectedWithin(TimeUnit.SECONDS.toNanos(10))).isTrue();
+        assertThat(answer.isEndExpectedWithin(TimeUnit.SECONDS.toNanos(5))).isFalse();
+    }
+
+    /** Guards against callers that wait for an answer which has no end, or whose server has stopped sending. */
+    @Test
+    void endIsNotExpectedOfAnAnswerWithoutALengthOrWithoutProgress() {
+        HeldBody endless = pausing.openAnswer(BodyOwner.NONE, "service");
+        endless.expect(0);
+        assertThat(endless.isEndExpectedWithin(Long.MAX_VALUE)).isFalse();
+        HeldBody stalled = pausing.openAnswer(BodyOwner.NONE, "service");
+        stalled.expect(500_000);
+        stalled.received(400_000);
+        passSeconds(1.1);
+        assertThat(stalled.isEndExpectedWithin(Long.MAX_VALUE)).isFalse();
+    }
+
     private void passSeconds(double seconds) {
         long end = nowNanos + (long) (seconds * TimeUnit.SECONDS.toNanos(1));
         for (; nowNanos < end; nowNanos += TimeUnit.MILLISECONDS.toNanos(50)) {
