Read at least two kilobytes before a connection is used again

Found by reading the change of turns again: read buffers adapt to small answers, and with one read a turn the second copy of an answer from the same write could be left in the socket when the connection was released. The next request would then have been lost (502), not misread. Buffers now hold at least 2048 bytes, and a turn has two reads. Not shown by a test: it needs another connection's event between two turns.

--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnector.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnector.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
@@ -18,6 +19,19 @@
 
 /** Opens client connections. */
 public final class HttpConnector {
+    /** The smallest buffer for a read, in bytes; holds a small answer and the start of what a server adds to it. */
+    private static final int MIN_READ_BYTES = 2048;
+
+    private static final int MAX_READ_BYTES = 64 * 1024;
+    /**
+     * Reads of one connection before others have their turn, so that servers that send without end leave time to them.
+     */
+    private static final int READS_PER_TURN = 2;
+
+    private static final RecvByteBufAllocator RECEIVE_BUFFERS = new AdaptiveRecvByteBufAllocator(
+                    MIN_READ_BYTES, MIN_READ_BYTES, MAX_READ_BYTES)
+            .maxMessagesPerRead(READS_PER_TURN);
+
     private final Bootstrap bootstrap;
     private final BodyMemory memory;
     private final Set<String> singleFields;
@@ -38,8 +52,7 @@
                 .channelFactory(NioSocketChannel::new)
                 .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                 .option(ChannelOption.TCP_NODELAY, true)
-                // Servers that send without end share the thread with all other connections.
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator().maxMessagesPerRead(1))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, RECEIVE_BUFFERS)
                 // Reports the end of the input apart from the end of the connection.
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeout.toMillis());
