Accept reason phrases with any byte above 127

A regular expression's dot does not match the character 0x85, which is part of many letters in UTF-8; found by reading. AnswerReaderTest has a case of it.

--- a/coppershelf/src/main/java/io/coppershelf/http/AnswerSyntax.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/AnswerSyntax.java
@@ -6,7 +6,8 @@
 /** The lines of an answer by RFC 9112; what a faulty server may have joined of two answers is not accepted. */
 final class AnswerSyntax {
     /** Three digits from 100 to 599 (RFC 9110, 15), and any minor version of HTTP/1. */
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.([0-9]) ([1-5][0-9]{2})(?: (.*))?");
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/1\\.([0-9]) ([1-5][0-9]{2})(?: (.*))?", Pattern.DOTALL);
 
     /** Not what a Via field may hold, where the name of a host follows the version. */
     private static final Pattern EMBEDDED_STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] [0-9]+(?: |$)");
--- a/coppershelf/src/test/java/io/coppershelf/http/AnswerReaderTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/http/AnswerReaderTest.java
@@ -26,6 +26,7 @@
             strings = {
                 WHOLE,
                 OK + "Id: b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2;name=value\r\ndy\r\n0\r\nX: y\r\n\r\n",
+                "HTTP/1.1 200 \u00c3\u0085\r\nContent-Length: 4\r\n\r\nbody",
                 "HTTP/1.1 200\r\nContent-Length: 4\r\n\r\nbody",
                 "HTTP/1.0 200 \r\nID : b\r\nContent-Length:4 \r\n\r\nbody",
                 "HTTP/1.1 200 OK\nContent-Length: 4\n\nbody",
