Complete an answer without a length only when its request is written

What callers saw: half an answer as a complete 200 once more.

Cause: a server that closes its connection while nothing unread has arrived ends the stream in order; the reset follows when the rest of the request arrives there. The end of the stream alone proves too little while the request is still being written.

Change: after the end of the input the connection stays open for the write.

Evidence: ResetDuringWriteTest, the end of the output and then a reset: "half" with status 200 before (a trial without the condition), 502 now. An answer whose server ends its output first and then reads the request is delivered.

Why it works: RFC 9112, 8 takes such an answer for complete unless the connection indicates an error; the failed write is that error.

--- a/coppershelf/src/main/java/io/coppershelf/http/AnswerReader.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/AnswerReader.java
@@ -94,6 +94,11 @@
         return Optional.empty();
     }
 
+    /** Returns whether the body is read that only the end of the input completes. */
+    boolean isInBodyUntilClose() {
+        return state == State.BODY_UNTIL_CLOSE;
+    }
+
     /** Ends the input, which the server closed in order; returns the end of an answer that it completes. */
     Optional<AnswerPart> close() {
         return state == State.BODY_UNTIL_CLOSE ? endOfAnswer() : Optional.empty();
--- a/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/HttpConnection.java
@@ -48,6 +48,7 @@
     private int countedBytes;
     private String service = "";
     private boolean isRequestWritten;
+    private boolean isInputEnded;
     private boolean isReusable = true;
     private boolean isReleasePending;
     private boolean hasSkippedAnswer;
@@ -89,7 +90,7 @@
         skippedAnswers = 0;
         hasPaused = false;
         reader.expectBody(!request.method().equals(HttpMethod.HEAD));
-        channel.writeAndFlush(request).addListener(written -> isRequestWritten = written.isSuccess());
+        channel.writeAndFlush(request).addListener(written -> requestWritten(written.isSuccess()));
     }
 
     /** Returns whether the request of the last exchange was written to the socket completely. */
@@ -261,18 +262,34 @@
         }
     }
 
-    /**
-     * Handles the end of what the server sends. It is the only proof that an answer without a length is complete: a
-     * connection may also end without an exception, if the write of a request fails.
-     */
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
-            if (listener.isPresent() && reader.close().isPresent()) {
-                isReusable = false;
-                complete(false);
-            }
-            channel.close();
+            isInputEnded = true;
+            endAnswer();
+        }
+    }
+
+    /**
+     * Completes an answer without a length. The end of what the server sends is the only proof of it, as a connection
+     * may also end without an exception; and only once the request is written, since a server that closes its
+     * connection before it has read the request resets it, which shows in the rest of the write.
+     */
+    private void endAnswer() {
+        if (listener.isPresent() && reader.isInBodyUntilClose() && !isRequestWritten) {
+            return;
+        }
+        if (listener.isPresent() && reader.close().isPresent()) {
+            isReusable = false;
+            complete(false);
+        }
+        channel.close();
+    }
+
+    private void requestWritten(boolean isSuccess) {
+        isRequestWritten = isSuccess;
+        if (isSuccess && isInputEnded) {
+            endAnswer();
         }
     }
 
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ResetDuringWriteTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ResetDuringWriteTest.java
@@ -46,6 +46,26 @@
         }
     }
 
+    /** Guards against the end of the output, after which the unread request resets the connection. */
+    @Test
+    void answerThatEndsBeforeTheRequestIsReadAndIsThenResetIsNotDelivered() throws IOException {
+        String head = "HTTP/1.1 200 OK\r\n" + MARKS + "Connection: close\r\n\r\n";
+        try (ResettingServer server = ResettingServer.start(head + "half", ResettingServer.End.OUTPUT_THEN_RESET)) {
+            proxy.servePorts(server.port());
+            assertUnknown();
+        }
+    }
+
+    /** Guards against the loss of an answer whose server reads the request to its end after it has answered. */
+    @Test
+    void answerThatEndsBeforeTheRequestIsReadCompletelyIsDelivered() throws IOException {
+        String head = "HTTP/1.1 200 OK\r\n" + MARKS + "Connection: close\r\n\r\n";
+        try (ResettingServer server = ResettingServer.start(head + "whole", ResettingServer.End.OUTPUT_THEN_READ)) {
+            proxy.servePorts(server.port());
+            assertThat(proxy.send(upload()).body()).isEqualTo("whole");
+        }
+    }
+
     @Test
     void answerOfAnotherVmThatIsResetWhileTheRequestIsWrittenIsNotDelivered() throws IOException {
         String head = "HTTP/1.1 200 OK\r\n" + MARKS + "Coppershelf-Relay-Result: SERVER_ANSWER\r\n\r\n";
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ResettingServer.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ResettingServer.java
@@ -2,6 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -14,14 +15,30 @@
 
     private final ServerSocket listener;
     private final String answer;
+    private final End end;
 
-    private ResettingServer(ServerSocket listener, String answer) {
+    /** How the connection ends after the bytes. */
+    enum End {
+        RESET,
+        /** The server ends its output, reads nothing more, and resets the connection. */
+        OUTPUT_THEN_RESET,
+        /** The server ends its output and reads the rest of the request. */
+        OUTPUT_THEN_READ
+    }
+
+    private ResettingServer(ServerSocket listener, String answer, End end) {
         this.listener = listener;
         this.answer = answer;
+        this.end = end;
     }
 
     static ResettingServer start(String answer) throws IOException {
-        ResettingServer server = new ResettingServer(new ServerSocket(0, 5, InetAddress.getLoopbackAddress()), answer);
+        return start(answer, End.RESET);
+    }
+
+    static ResettingServer start(String answer, End end) throws IOException {
+        ResettingServer server =
+                new ResettingServer(new ServerSocket(0, 5, InetAddress.getLoopbackAddress()), answer, end);
         Thread thread = new Thread(server::accept, "resetting-server");
         thread.setDaemon(true);
         thread.start();
@@ -40,8 +57,15 @@
                 socket.getOutputStream()
                         .write(answer.getBytes(StandardCharsets.ISO_8859_1), 0, count < 0 ? 0 : answer.length());
                 socket.getOutputStream().flush();
+                if (end != End.RESET) {
+                    socket.shutdownOutput();
+                }
                 Thread.sleep(READ_DELAY_MILLIS);
-                socket.setSoLinger(true, 0);
+                if (end == End.OUTPUT_THEN_READ) {
+                    socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+                } else {
+                    socket.setSoLinger(true, 0);
+                }
             } catch (IOException e) {
                 return;
             } catch (InterruptedException e) {
