--- a/coppershelf/src/main/java/io/coppershelf/http/AnswerReader.java
+++ b/coppershelf/src/main/java/io/coppershelf/http/AnswerReader.java
@@ -10,9 +10,10 @@
 import java.util.Set;
 
 /**
- * Reads the answers on one connection from its bytes, by the rules of RFC 9112. Where the standard lets a recipient
- * accept what breaks it, this reader doesn't: a lenient one takes the beginning of one answer and the end of another
- * for a single answer. Knows neither a connection nor a clock.
+ * Reads the answers on one connection from its bytes, by the rules of RFC 9112. Of what the standard lets a recipient
+ * tolerate, only a line feed without a carriage return and white space before a colon are accepted: a more lenient
+ * reader takes the beginning of one answer and the end of another for a single answer. Has neither a connection nor a
+ * clock.
  */
 final class AnswerReader {
     private static final int MAX_STATUS_LINE_BYTES = 4096;
--- a/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
+++ b/coppershelf/src/main/java/io/coppershelf/proxy/RequestExecution.java
@@ -279,10 +279,7 @@
         execute(isWaitingForMemory() ? List.of() : plan.timerExpired(System.nanoTime()));
     }
 
-    /**
-     * Returns whether an answer is late for lack of memory only, so that neither a hedge nor the deadline is due.
-     * Beyond the deadline that holds only for an answer that can be expected.
-     */
+    /** Returns whether neither a hedge nor the deadline is due, since an answer that is expected only lacks memory. */
     private boolean isWaitingForMemory() {
         long lateNanos = System.nanoTime() - deadlineNanos;
         return attempts.stream()
