--- a/coppershelf/src/test/java/io/coppershelf/proxy/CutAnswerTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/CutAnswerTest.java
@@ -3,14 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import io.coppershelf.testing.Conditions;
 import io.coppershelf.testing.FakeBackendServer;
-import io.coppershelf.testing.FreePorts;
 import io.coppershelf.testing.RawCaller;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.Timeout;
@@ -75,7 +70,7 @@
         int[] cut = {answer.text().length()};
         try (FakeBackendServer vm = FakeBackendServer.start(
                 request -> FakeBackendServer.thenClose(answer.text().substring(0, cut[0])))) {
-            handRequestsTo(vm);
+            proxy.handRequestsTo(vm.port());
             assertThat(proxy.call("POST", "/once/1").body()).isEqualTo("whole");
             for (cut[0] = 0; cut[0] < answer.cuts(); cut[0]++) {
                 assertUnknown(cut[0], proxy.call("POST", "/once/1"));
@@ -83,15 +78,6 @@
         }
     }
 
-    /** Makes the proxy reach no server, so that it hands requests to the VM. */
-    private void handRequestsTo(FakeBackendServer vm) throws IOException {
-        proxy.servePorts(
-                IntStream.range(0, 6).map(i -> FreePorts.address().getPort()).toArray());
-        proxy.state().relays(new InetSocketAddress(InetAddress.getLoopbackAddress(), vm.port()));
-        proxy.call("POST", "/once/settle");
-        Conditions.await(() -> proxy.state().reachable().contains(false));
-    }
-
     private static void assertUnknown(int cut, RawCaller.Reply reply) {
         assertWithMessage("status of an answer that is cut after %s bytes", cut)
                 .that(reply.status())
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ProxyFixture.java
@@ -18,6 +18,7 @@
 import io.coppershelf.http.BodyLimit;
 import io.coppershelf.poison.CrashRecords;
 import io.coppershelf.testing.Catalogs;
+import io.coppershelf.testing.Conditions;
 import io.coppershelf.testing.FakeBackendServer;
 import io.coppershelf.testing.FreePorts;
 import io.coppershelf.testing.RawCaller;
@@ -28,6 +29,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -38,6 +40,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 /** A traffic path on the loopback interface with routes of each kind to one service. */
 final class ProxyFixture implements AutoCloseable {
@@ -45,6 +48,7 @@
     private static final int MAX_BODY_BYTES = 5000;
     private static final int MAX_UPLOAD_BYTES = 1_000_000;
     private static final int MAX_CONNECTIONS = 400;
+    private static final Duration ROUTE_TIMEOUT = Duration.ofMillis(2500);
     /** Room for an API key of 4 KB. */
     private static final int MAX_TENANT_HEAD_BYTES = 8000;
 
@@ -123,18 +127,17 @@
         serve(routes, MAX_TENANT_HEAD_BYTES, Optional.of(table), ports);
     }
 
+    /** Makes the traffic path reach no server, so that it hands requests to the VM that listens on the port. */
+    void handRequestsTo(int port) throws IOException {
+        servePorts(IntStream.range(0, 6).map(i -> FreePorts.address().getPort()).toArray());
+        state.relays(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+        call("POST", "/once/settle");
+        Conditions.await(() -> state.reachable().contains(false));
+    }
+
     /** Routes requests below /other/ to the server of a second service, and all others to the servers on the ports. */
     void serveBeside(FakeBackendServer other, int... ports) {
-        Route otherRoute = new Route(
-                "/other/",
-                "host",
-                "/other/",
-                RequestKind.LARGE_ANSWER,
-                Duration.ofMillis(2500),
-                Duration.ofSeconds(1),
-                1,
-                2,
-                List.of(new WeightedService("other", 1)));
+        Route otherRoute = route("/other/", RequestKind.LARGE_ANSWER, ROUTE_TIMEOUT, "other");
         RouteTable routes = RouteTable.of(List.of(route("/once/", RequestKind.ONCE), otherRoute));
         serve(routes, MAX_HEAD_BYTES, tenants, Optional.of(server("i-other", "other", other.port())), ports);
     }
@@ -234,10 +237,14 @@
     }
 
     private static Route route(String prefix, RequestKind kind) {
-        return route(prefix, kind, Duration.ofMillis(2500));
+        return route(prefix, kind, ROUTE_TIMEOUT);
     }
 
     private static Route route(String prefix, RequestKind kind, Duration timeout) {
+        return route(prefix, kind, timeout, "ledger");
+    }
+
+    private static Route route(String prefix, RequestKind kind, Duration timeout, String service) {
         return new Route(
                 prefix,
                 "host",
@@ -247,7 +254,7 @@
                 Duration.ofSeconds(1),
                 1,
                 2,
-                List.of(new WeightedService("ledger", 1)));
+                List.of(new WeightedService(service, 1)));
     }
 
     @Override
--- a/coppershelf/src/test/java/io/coppershelf/proxy/ResetDuringWriteTest.java
+++ b/coppershelf/src/test/java/io/coppershelf/proxy/ResetDuringWriteTest.java
@@ -3,14 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import io.coppershelf.testing.Conditions;
 import io.coppershelf.testing.FakeBackendServer;
-import io.coppershelf.testing.FreePorts;
 import io.coppershelf.testing.RawCaller;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.util.stream.IntStream;
 import org.junit.jupiter.api.AutoClose;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -70,12 +65,7 @@
     void answerOfAnotherVmThatIsResetWhileTheRequestIsWrittenIsNotDelivered() throws IOException {
         String head = "HTTP/1.1 200 OK\r\n" + MARKS + "Coppershelf-Relay-Result: SERVER_ANSWER\r\n\r\n";
         try (ResettingServer vm = ResettingServer.start(head + "half")) {
-            proxy.servePorts(IntStream.range(0, 6)
-                    .map(i -> FreePorts.address().getPort())
-                    .toArray());
-            proxy.state().relays(new InetSocketAddress(InetAddress.getLoopbackAddress(), vm.port()));
-            proxy.call("POST", "/once/settle");
-            Conditions.await(() -> proxy.state().reachable().contains(false));
+            proxy.handRequestsTo(vm.port());
             assertUnknown();
         }
     }
