--- a/review/standins-2/Cases.java
+++ b/review/standins-2/Cases.java
@@ -13,10 +13,15 @@
         boolean run(Recorder record, Deployment deployment, boolean isTrouble) throws Exception;
     }
 
-    static void run(Path directory, Body body) {
+    /**
+     * Runs a case.
+     *
+     * @param recordFile receives what was sent, answered and run
+     */
+    static void run(Path recordFile, Body body) {
         boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
         int code;
-        try (Recorder record = new Recorder(directory.resolve("record.txt"))) {
+        try (Recorder record = new Recorder(recordFile)) {
             try (Deployment deployment = new Deployment(record)) {
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> closeQuietly(deployment)));
                 code = body.run(record, deployment, isTrouble) ? 0 : 1;
